Maven build, kernel, value types and shared interfaces

Cause: nothing existed. Every later part needs the same build rules, ids, error types and interfaces, so they come first. Change: six modules; Palantir format by Spotless, Checkstyle and Error Prone fail the build; core holds ids, typed errors, configuration objects and the interfaces to store, host list, engines and plain services; the daemon has a kernel that starts services by name in dependency order. Conclusion: later work can proceed in parallel against these interfaces.

--- /dev/null
+++ b/bench/src/main/java/org/endivehold/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Load and experiment tool with reports and plots. */
+package org.endivehold.bench;
--- /dev/null
+++ b/cli/src/main/java/org/endivehold/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' command-line tool. */
+package org.endivehold.cli;
--- /dev/null
+++ b/core/src/main/java/org/endivehold/admission/package-info.java
@@ -0,0 +1,2 @@
+/** Queueing, fairness, deadlines and early refusal. */
+package org.endivehold.admission;
--- /dev/null
+++ b/core/src/main/java/org/endivehold/config/Adapter.java
@@ -0,0 +1,12 @@
+package org.endivehold.config;
+
+import org.endivehold.misc.AdapterName;
+import org.endivehold.misc.VersionName;
+
+/**
+ * An adapter on top of a version.
+ *
+ * @param name the adapter
+ * @param version the version that it adapts
+ */
+public record Adapter(AdapterName name, VersionName version) {}
--- /dev/null
+++ b/core/src/main/java/org/endivehold/config/Model.java
@@ -0,0 +1,11 @@
+package org.endivehold.config;
+
+import org.endivehold.misc.ModelName;
+
+/**
+ * A language model as callers name it.
+ *
+ * @param name the name in a caller's request
+ * @param maxContextTokens longest prompt plus answer, in tokens
+ */
+public record Model(ModelName name, long maxContextTokens) {}
--- /dev/null
+++ b/core/src/main/java/org/endivehold/ledger/package-info.java
@@ -0,0 +1,2 @@
+/** At-most-once execution of non-idempotent calls. */
+package org.endivehold.ledger;
--- /dev/null
+++ b/core/src/main/java/org/endivehold/membership/package-info.java
@@ -0,0 +1,2 @@
+/** Failure detection between daemons as a pure state machine. */
+package org.endivehold.membership;
--- /dev/null
+++ b/core/src/main/java/org/endivehold/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Choice of an upstream for one request. */
+package org.endivehold.placement;
--- /dev/null
+++ b/core/src/main/java/org/endivehold/platform/SwapResult.java
@@ -0,0 +1,11 @@
+package org.endivehold.platform;
+
+import java.util.Optional;
+
+/**
+ * The outcome of a compare-and-swap.
+ *
+ * @param swapped whether this call wrote
+ * @param current the entry after the call; empty if the key does not exist
+ */
+public record SwapResult(boolean swapped, Optional<StoreEntry> current) {}
--- /dev/null
+++ b/core/src/main/java/org/endivehold/platform/package-info.java
@@ -0,0 +1,2 @@
+/** Interfaces to the platform: the key-value service and the list of hosts. */
+package org.endivehold.platform;
--- /dev/null
+++ b/core/src/main/java/org/endivehold/stream/package-info.java
@@ -0,0 +1,2 @@
+/** Bookkeeping of one generation stream over several attempts. */
+package org.endivehold.stream;
--- /dev/null
+++ b/core/src/main/java/org/endivehold/upstream/package-info.java
@@ -0,0 +1,2 @@
+/** Interfaces to the upstreams: model engines and plain services. */
+package org.endivehold.upstream;
--- /dev/null
+++ b/daemon/src/main/java/org/endivehold/daemon/config/package-info.java
@@ -0,0 +1,2 @@
+/** Configuration in the daemon: watching, spreading, activating. */
+package org.endivehold.daemon.config;
--- /dev/null
+++ b/daemon/src/main/java/org/endivehold/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** The daemon: assembles the services and runs them. */
+package org.endivehold.daemon;
--- /dev/null
+++ b/daemon/src/main/java/org/endivehold/daemon/peer/PeerTransport.java
@@ -0,0 +1,48 @@
+package org.endivehold.daemon.peer;
+
+import io.vertx.core.Future;
+import java.util.function.BiFunction;
+import org.endivehold.misc.HostId;
+import org.endivehold.wire.Message;
+
+/** Sends messages to other daemons over one TCP connection per pair; at most once, in order, without a promise. */
+public interface PeerTransport {
+    /** Name of the service. */
+    String NAME = "peers";
+
+    /**
+     * Sets the address of a peer; a later call replaces it.
+     *
+     * @param peer the peer
+     * @param address IP address
+     * @param port TCP port
+     */
+    void address(HostId peer, String address, int port);
+
+    /**
+     * Sends a message and forgets it; dropped if the peer cannot be reached.
+     *
+     * @param peer the peer
+     * @param message the message
+     */
+    void send(HostId peer, Message message);
+
+    /**
+     * Sends a message and waits for its answer.
+     *
+     * @param peer the peer
+     * @param message the message
+     * @param timeoutMillis time to wait, in milliseconds
+     * @return the answer; fails with {@code PEER_UNREACHABLE}, {@code PEER_TIMEOUT} or the peer's typed failure
+     */
+    Future<Message> request(HostId peer, Message message, long timeoutMillis);
+
+    /**
+     * Sets the handler of a kind of message.
+     *
+     * @param kind the record class
+     * @param handler gets the sender and the message; its future's result, if not null, is sent as the answer
+     * @param <T> the record type
+     */
+    <T extends Message> void handle(Class<T> kind, BiFunction<HostId, T, Future<? extends Message>> handler);
+}
--- /dev/null
+++ b/daemon/src/main/java/org/endivehold/daemon/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Connections between daemons. */
+package org.endivehold.daemon.peer;
--- /dev/null
+++ b/standin/src/main/java/org/endivehold/standin/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins for the platform and the upstreams, usable in a test and as a process. */
+package org.endivehold.standin;
--- /dev/null
+++ b/wire/src/main/java/org/endivehold/wire/package-info.java
@@ -0,0 +1,2 @@
+/** Messages between daemons, their MessagePack codec and framing. */
+package org.endivehold.wire;
