--- /dev/null
+++ b/core/src/main/java/org/endivehold/misc/LogEvent.java
@@ -0,0 +1,95 @@
+package org.endivehold.misc;
+
+import java.util.Locale;
+import org.jboss.logging.Logger;
+
+/**
+ * One event as a line of key=value pairs. Values with spaces or quotes are quoted; control characters are replaced.
+ *
+ * <p>Example: {@code LogEvent.of("stream-ended").with("request", id).with("tokens", 12).info(log)}.
+ */
+public final class LogEvent {
+    private final StringBuilder line = new StringBuilder("event=");
+
+    private LogEvent(String event) {
+        line.append(event);
+    }
+
+    /**
+     * Starts a line.
+     *
+     * @param event name of the event, words joined by hyphens
+     * @return the event
+     */
+    public static LogEvent of(String event) {
+        return new LogEvent(event);
+    }
+
+    /**
+     * Adds a pair.
+     *
+     * @param key the key, a word in lower case
+     * @param value the value; null is written as {@code -}
+     * @return this
+     */
+    public LogEvent with(String key, Object value) {
+        line.append(' ').append(key).append('=').append(quote(value));
+        return this;
+    }
+
+    /**
+     * Writes the line at level info.
+     *
+     * @param log the logger
+     */
+    public void info(Logger log) {
+        log.info(line);
+    }
+
+    /**
+     * Writes the line at level warning.
+     *
+     * @param log the logger
+     */
+    public void warn(Logger log) {
+        log.warn(line);
+    }
+
+    /**
+     * Writes the line at level debug.
+     *
+     * @param log the logger
+     */
+    public void debug(Logger log) {
+        log.debug(line);
+    }
+
+    @Override
+    public String toString() {
+        return line.toString();
+    }
+
+    private static String quote(Object value) {
+        String text = value == null ? "-" : value.toString();
+        boolean plain = !text.isEmpty();
+        for (int i = 0; plain && i < text.length(); i++) {
+            char c = text.charAt(i);
+            plain = c > ' ' && c != '"' && c != '=' && c != 127;
+        }
+        if (plain) {
+            return text;
+        }
+        StringBuilder quoted = new StringBuilder("\"");
+        for (int i = 0; i < text.length(); i++) {
+            char c = text.charAt(i);
+            if (c == '"' || c == '\\') {
+                quoted.append('\\').append(c);
+            } else if (c < ' ' || c == 127) {
+                quoted.append(String.format(Locale.ROOT, "\\u%04x", (int) c));
+            } else {
+                quoted.append(c);
+            }
+        }
+        return quoted.append('"').toString();
+    }
+}
--- a/core/src/main/java/org/endivehold/upstream/PlainService.java
+++ b/core/src/main/java/org/endivehold/upstream/PlainService.java
@@ -12,4 +12,11 @@
      *     if no byte was sent, and with run outcome {@code UNKNOWN} otherwise
      */
     CompletionStage<PlainAnswer> call(PlainCall call);
+
+    /**
+     * Reads the load report, which lags.
+     *
+     * @return the last report
+     */
+    CompletionStage<PlainLoad> load();
 }
--- /dev/null
+++ b/daemon/src/main/java/org/endivehold/daemon/Daemon.java
@@ -0,0 +1,96 @@
+package org.endivehold.daemon;
+
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import org.apache.commons.rng.simple.RandomSource;
+import org.endivehold.daemon.kernel.Kernel;
+import org.endivehold.daemon.request.TraceLog;
+import org.endivehold.daemon.settings.Settings;
+import org.endivehold.error.ErrorManager;
+import org.endivehold.misc.Incarnation;
+import org.endivehold.misc.Ticker;
+
+/** One daemon: its Vert.x instance, its context and its services. Several may run in one JVM. */
+public final class Daemon {
+    private final DaemonContext context;
+    private final Kernel kernel = new Kernel();
+
+    /**
+     * Assembles a daemon.
+     *
+     * @param settings its settings
+     */
+    public Daemon(Settings settings) {
+        Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(2));
+        Ticker ticker = Ticker.system();
+        long seed = settings.seed() == 0 ? System.nanoTime() : settings.seed();
+        context = new DaemonContext(
+                vertx,
+                settings,
+                ticker,
+                new ErrorManager(),
+                RandomSource.XO_RO_SHI_RO_128_PP.create(seed),
+                new PrometheusMeterRegistry(PrometheusConfig.DEFAULT),
+                new TraceLog(ticker),
+                new Incarnation(System.currentTimeMillis()));
+        assemble();
+    }
+
+    private void assemble() {
+        // Each service is added here; the kernel orders them by their needs.
+    }
+
+    /**
+     * Returns what the services are built with.
+     *
+     * @return the context
+     */
+    public DaemonContext context() {
+        return context;
+    }
+
+    /**
+     * Returns the services.
+     *
+     * @return the kernel
+     */
+    public Kernel kernel() {
+        return kernel;
+    }
+
+    /**
+     * Starts all services.
+     *
+     * @return when all run
+     */
+    public Future<Void> start() {
+        return onLoop(kernel::start);
+    }
+
+    /**
+     * Shuts down gracefully: drains, then stops.
+     *
+     * @return when the daemon has stopped
+     */
+    public Future<Void> shutdown() {
+        return onLoop(kernel::shutdown).eventually(context.vertx()::close);
+    }
+
+    /**
+     * Ends at once, as a crash would: connections break, nothing is handed back.
+     *
+     * @return when all threads have ended
+     */
+    public Future<Void> kill() {
+        return context.vertx().close();
+    }
+
+    private Future<Void> onLoop(java.util.function.Supplier<Future<Void>> step) {
+        io.vertx.core.Promise<Void> promise = io.vertx.core.Promise.promise();
+        context.vertx().runOnContext(ignored -> step.get().onComplete(promise));
+        return promise.future();
+    }
+}
--- a/daemon/src/main/java/org/endivehold/daemon/kernel/Kernel.java
+++ b/daemon/src/main/java/org/endivehold/daemon/kernel/Kernel.java
@@ -55,6 +55,20 @@
         return type.cast(found);
     }
 
+    /**
+     * Finds all services of a type.
+     *
+     * @param type an interface
+     * @param <T> the type
+     * @return the services, in the order in which they were added
+     */
+    public <T> List<T> all(Class<T> type) {
+        return services.values().stream()
+                .filter(type::isInstance)
+                .map(type::cast)
+                .toList();
+    }
+
     /**
      * Starts all services; on failure stops those that run already.
      *
--- /dev/null
+++ b/daemon/src/main/java/org/endivehold/daemon/request/TraceLog.java
@@ -0,0 +1,69 @@
+package org.endivehold.daemon.request;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.endivehold.misc.RequestId;
+import org.endivehold.misc.Ticker;
+
+/**
+ * Remembers the decisions made for the latest requests, for {@code endivehold trace}. Bounded in requests and events.
+ */
+public final class TraceLog {
+    private static final int MAX_REQUESTS = 2_000;
+    private static final int MAX_EVENTS_PER_REQUEST = 64;
+
+    private final Ticker ticker;
+    private final Map<RequestId, Deque<TraceEvent>> requests = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<RequestId, Deque<TraceEvent>> eldest) {
+            return size() > MAX_REQUESTS;
+        }
+    };
+
+    /**
+     * Creates an empty log.
+     *
+     * @param ticker gives the time of each event
+     */
+    public TraceLog(Ticker ticker) {
+        this.ticker = ticker;
+    }
+
+    /**
+     * One decision.
+     *
+     * @param atMillis monotonic time of the daemon in milliseconds
+     * @param step what was decided, such as {@code placed}
+     * @param detail key=value pairs
+     */
+    public record TraceEvent(long atMillis, String step, String detail) {}
+
+    /**
+     * Adds a decision.
+     *
+     * @param request the request
+     * @param step what was decided
+     * @param detail key=value pairs
+     */
+    public synchronized void note(RequestId request, String step, String detail) {
+        Deque<TraceEvent> events = requests.computeIfAbsent(request, id -> new ArrayDeque<>());
+        if (events.size() < MAX_EVENTS_PER_REQUEST) {
+            events.add(new TraceEvent(ticker.millis(), step, detail));
+        }
+    }
+
+    /**
+     * Returns the decisions for a request.
+     *
+     * @param request the request
+     * @return the events in order; empty if the request is not remembered
+     */
+    public synchronized List<TraceEvent> events(RequestId request) {
+        return List.copyOf(requests.getOrDefault(request, new ArrayDeque<>()));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/endivehold/daemon/request/package-info.java
@@ -0,0 +1,2 @@
+/** The way of a request from admission to its last byte. */
+package org.endivehold.daemon.request;
--- /dev/null
+++ b/daemon/src/main/java/org/endivehold/daemon/settings/package-info.java
@@ -0,0 +1,2 @@
+/** The daemon's settings file. */
+package org.endivehold.daemon.settings;
--- /dev/null
+++ b/daemon/src/main/java/org/endivehold/daemon/upstream/package-info.java
@@ -0,0 +1,2 @@
+/** Adapters to engines and plain services. */
+package org.endivehold.daemon.upstream;
