Add stand-ins for engines, plain services, key-value service and host list

Each runs as a verticle in a test and as a process. The engine's timing and memory are a model without sockets; its answers are a function of the prompt, so that a continued answer can be checked. The messages of the engine interface are records in one package of core.

--- /dev/null
+++ b/core/src/main/java/org/endivehold/upstream/protocol/CompletionBody.java
@@ -0,0 +1,62 @@
+package org.endivehold.upstream.protocol;
+
+import com.fasterxml.jackson.databind.PropertyNamingStrategies;
+import com.fasterxml.jackson.databind.annotation.JsonNaming;
+import java.util.List;
+import java.util.Optional;
+import org.endivehold.misc.AdapterName;
+import org.endivehold.misc.StreamId;
+import org.endivehold.misc.VersionName;
+import org.endivehold.upstream.CacheHandle;
+import org.endivehold.upstream.GenerateRequest;
+import org.endivehold.upstream.StreamOwner;
+
+/**
+ * Body of {@code POST /v1/completions} and {@code POST /control/prefill}; field names in snake case.
+ *
+ * @param model the version
+ * @param prompt the whole prompt; for a prefill the part to compute
+ * @param maxTokens most tokens of the whole answer
+ * @param stream whether to answer with server-sent events; always true
+ * @param priority larger is more urgent
+ * @param streamId identifier under which the stream runs
+ * @param owner the daemon that answers for it
+ * @param adapter the adapter, if any
+ * @param delivered text that the caller already has
+ * @param deliveredTokens its tokens
+ * @param attached caches of earlier parts of the prompt, in order
+ */
+@JsonNaming(PropertyNamingStrategies.SnakeCaseStrategy.class)
+public record CompletionBody(
+        VersionName model,
+        String prompt,
+        int maxTokens,
+        boolean stream,
+        int priority,
+        StreamId streamId,
+        StreamOwner owner,
+        Optional<AdapterName> adapter,
+        String delivered,
+        long deliveredTokens,
+        List<CacheHandle> attached) {
+    /**
+     * Converts a request.
+     *
+     * @param request the request
+     * @return its body
+     */
+    public static CompletionBody of(GenerateRequest request) {
+        return new CompletionBody(
+                request.version(),
+                request.prompt(),
+                request.maxTokens(),
+                true,
+                request.priority(),
+                request.stream(),
+                request.owner(),
+                request.adapter(),
+                request.delivered(),
+                request.deliveredTokens(),
+                request.attached());
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/endivehold/standin/hosts/package-info.java
@@ -0,0 +1,2 @@
+/** A stand-in for the platform's list of hosts. */
+package org.endivehold.standin.hosts;
--- /dev/null
+++ b/standin/src/main/java/org/endivehold/standin/store/StoreStandin.java
@@ -0,0 +1,254 @@
+package org.endivehold.standin.store;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vertx.core.Future;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerRequest;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.endivehold.standin.http.HttpStandin;
+import org.endivehold.standin.log.StandinLog;
+import org.endivehold.upstream.protocol.ProtocolJson;
+
+/**
+ * The stand-in for the key-value service: ranges, transactions, leases and watches as etcd's JSON gateway has them.
+ * {@code GET /calls} returns the counts of calls.
+ */
+public final class StoreStandin extends HttpStandin<StoreFaults> {
+    private static final int MAX_BODY_BYTES = 1_600_000;
+    private static final int CODE_NOT_FOUND = 5;
+    private static final int CODE_INVALID = 3;
+    private static final long EXPIRY_PERIOD_MILLIS = 50;
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+    private static final String CALLS = "/calls";
+    private static final String WATCH = "/v3/watch";
+    private static final JsonNodeFactory JSON = JsonNodeFactory.instance;
+
+    private final StoreModel model = new StoreModel(this::changed);
+    private final Map<HttpServerRequest, JsonNode> watches = new HashMap<>();
+    private final List<StoreModel.Change> changes = new ArrayList<>();
+    private volatile StoreCalls calls = StoreCalls.NONE;
+    private long writes;
+
+    /**
+     * Creates a service without keys.
+     *
+     * @param port TCP port; 0 for any free one
+     * @param log takes what it does
+     */
+    public StoreStandin(int port, StandinLog log) {
+        super(port, StoreFaults.NONE, StoreFaults.class, log);
+    }
+
+    @Override
+    public Future<?> start() {
+        vertx.setPeriodic(EXPIRY_PERIOD_MILLIS, ignored -> {
+            model.expire(now());
+            spread();
+        });
+        return super.start();
+    }
+
+    /**
+     * Returns the counts of calls.
+     *
+     * @return counts since the start
+     */
+    public StoreCalls calls() {
+        return calls;
+    }
+
+    /**
+     * Returns the base URL.
+     *
+     * @return URL once started
+     */
+    public String url() {
+        return "http://" + ADDRESS + ":" + port();
+    }
+
+    @Override
+    protected void faultsChanged() {
+        if (faults().outage()) {
+            closeConnections();
+        }
+    }
+
+    @Override
+    protected void serve(HttpServerRequest request) {
+        if (request.path().equals(CALLS)) {
+            reply(request, 200, calls);
+            return;
+        }
+        if (faults().outage()) {
+            request.connection().close();
+            return;
+        }
+        request.body().onSuccess(body -> {
+            long delay = faults().delayMillis();
+            if (delay > 0) {
+                vertx.setTimer(delay, ignored -> receive(request, body));
+            } else {
+                receive(request, body);
+            }
+        });
+    }
+
+    private void receive(HttpServerRequest request, Buffer body) {
+        if (faults().outage()) {
+            request.connection().close();
+            return;
+        }
+        if (body.length() > MAX_BODY_BYTES) {
+            fail(request, "etcdserver: request is too large");
+            return;
+        }
+        Optional<JsonNode> call = ProtocolJson.read(body.getBytes(), JsonNode.class);
+        if (call.isEmpty()) {
+            fail(request, "malformed body");
+        } else if (request.path().equals(WATCH)) {
+            openWatch(request, call.get());
+        } else {
+            perform(request, call.get(), body.length());
+        }
+    }
+
+    private void perform(HttpServerRequest request, JsonNode call, int bytes) {
+        boolean write = count(request.path(), bytes);
+        StoreFaults faults = faults();
+        writes += write ? 1 : 0;
+        if (!write || faults.loseEvery() == 0 || writes % faults.loseEvery() != 0) {
+            answer(request, call);
+            return;
+        }
+        switch (faults.lost()) {
+            case APPLIED -> applyUnanswered(request, call);
+            case LATE -> vertx.setTimer(Math.max(1, faults.lateMillis()), ignored -> applyUnanswered(request, call));
+            case NEVER -> {}
+            default -> throw new IllegalArgumentException(faults.lost().name());
+        }
+        request.connection().close();
+    }
+
+    private void applyUnanswered(HttpServerRequest request, JsonNode call) {
+        try {
+            apply(request.path(), call);
+        } catch (StoreModel.BadCall e) {
+            // The answer is lost, and so is the refusal.
+            return;
+        }
+        spread();
+    }
+
+    private void answer(HttpServerRequest request, JsonNode call) {
+        try {
+            reply(request, 200, apply(request.path(), call));
+        } catch (StoreModel.BadCall e) {
+            fail(request, e.getMessage());
+        }
+        spread();
+    }
+
+    private ObjectNode apply(String path, JsonNode call) throws StoreModel.BadCall {
+        return switch (path) {
+            case "/v3/kv/range" -> model.range(call);
+            case "/v3/kv/txn" -> model.txn(call);
+            case "/v3/kv/put" -> model.put(call);
+            case "/v3/kv/deleterange" -> model.deleteRange(call);
+            case "/v3/lease/grant" -> model.grant(call, now());
+            case "/v3/lease/keepalive" -> result(model.keepAlive(call, now()));
+            case "/v3/lease/revoke", "/v3/kv/lease/revoke" -> model.revoke(call);
+            default -> throw new StoreModel.BadCall("Not Found");
+        };
+    }
+
+    private boolean count(String path, int bytes) {
+        boolean write = path.startsWith("/v3/kv/") && !path.equals("/v3/kv/range");
+        if (write) {
+            calls = calls.plus(0, 1, 0, 0).withValue(bytes);
+        } else if (path.equals("/v3/kv/range")) {
+            calls = calls.plus(1, 0, 0, 0);
+        } else {
+            calls = calls.plus(0, 0, 1, 0);
+        }
+        return write;
+    }
+
+    private void openWatch(HttpServerRequest request, JsonNode call) {
+        calls = calls.plus(0, 0, 0, 1);
+        JsonNode create = StoreModel.field(call, "create_request");
+        request.response().setChunked(true).putHeader("content-type", "application/json");
+        request.response().closeHandler(ignored -> watches.remove(request));
+        ObjectNode created = model.withHeader();
+        created.put("created", true);
+        send(request, created);
+        long start = StoreModel.number(create, "start_revision");
+        try {
+            if (start > 0) {
+                sendChanges(request, create, model.historyFrom(start));
+            }
+            watches.put(request, create);
+        } catch (StoreModel.BadCall e) {
+            ObjectNode canceled = model.withHeader();
+            canceled.put("canceled", true);
+            canceled.put("compact_revision", Long.toString(model.revision()));
+            send(request, canceled);
+            request.response().end();
+        }
+    }
+
+    private void changed(StoreModel.Change change) {
+        changes.add(change);
+    }
+
+    private void spread() {
+        if (changes.isEmpty()) {
+            return;
+        }
+        List<StoreModel.Change> batch = List.copyOf(changes);
+        changes.clear();
+        Map.copyOf(watches).forEach((request, create) -> sendChanges(request, create, batch));
+    }
+
+    private void sendChanges(HttpServerRequest request, JsonNode create, List<StoreModel.Change> batch) {
+        ObjectNode answer = model.withHeader();
+        var events = answer.putArray("events");
+        for (StoreModel.Change change : batch) {
+            if (StoreModel.covers(create, change.entry().key())) {
+                events.add(change.json());
+            }
+        }
+        if (!events.isEmpty()) {
+            send(request, answer);
+        }
+    }
+
+    private static void send(HttpServerRequest request, ObjectNode message) {
+        Buffer line = Buffer.buffer(ProtocolJson.write(result(message))).appendString("\n");
+        request.response().write(line);
+    }
+
+    private static ObjectNode result(ObjectNode message) {
+        ObjectNode wrapped = JSON.objectNode();
+        wrapped.set("result", message);
+        return wrapped;
+    }
+
+    private static void fail(HttpServerRequest request, String message) {
+        boolean missing = message.contains("not found") || message.equals("Not Found");
+        ObjectNode body = JSON.objectNode();
+        body.put("error", message);
+        body.put("message", message);
+        body.put("code", missing ? CODE_NOT_FOUND : CODE_INVALID);
+        reply(request, missing ? 404 : 400, body);
+    }
+
+    private static long now() {
+        return System.nanoTime() / NANOS_PER_MILLI;
+    }
+}
