Settings reader, HTTP front for callers and the daemon's command line

Cause: nothing took a caller's request or a settings file. Change: settings are laid over defaults and checked against a schema and rules between fields, all faults at once with their JSON pointers; CallerFront serves completions, chat, reattach and plain routes with bounds on bodies, time, buffered bytes and connections; failures are problem+json with run; DaemonTool exits 2 on bad settings and 0 after a graceful shutdown.

--- /dev/null
+++ b/daemon/src/main/java/org/endivehold/daemon/DaemonTool.java
@@ -0,0 +1,82 @@
+package org.endivehold.daemon;
+
+import com.github.rvesse.airline.SingleCommand;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.annotations.restrictions.Required;
+import com.github.rvesse.airline.parser.errors.ParseException;
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.endivehold.daemon.settings.Settings;
+import org.endivehold.daemon.settings.SettingsException;
+import org.endivehold.daemon.settings.SettingsFault;
+import org.endivehold.daemon.settings.SettingsReader;
+
+/**
+ * The daemon's command line: {@code endiveholdd --settings FILE}. Exit codes: 0 after a graceful shutdown, 1 if the
+ * daemon cannot start, 2 for a wrong command line or settings with faults.
+ */
+@Command(name = "endiveholdd", description = "Runs one daemon until SIGTERM")
+public final class DaemonTool {
+    private static final int EXIT_OK = 0;
+    private static final int EXIT_FAILED = 1;
+    private static final int EXIT_USAGE = 2;
+
+    @Option(
+            name = {"-s", "--settings"},
+            description = "Settings file in JSON")
+    @Required
+    private String settings;
+
+    /**
+     * Runs the tool.
+     *
+     * @param args the command line
+     */
+    public static void main(String[] args) {
+        DaemonTool tool;
+        try {
+            tool = SingleCommand.singleCommand(DaemonTool.class).parse(args);
+        } catch (ParseException e) {
+            System.err.println("endiveholdd: " + e.getMessage() + "; usage: endiveholdd --settings FILE");
+            Runtime.getRuntime().halt(EXIT_USAGE);
+            return;
+        }
+        tool.run();
+    }
+
+    private void run() {
+        Settings read;
+        try {
+            read = SettingsReader.read(Path.of(settings));
+        } catch (SettingsException e) {
+            for (SettingsFault fault : e.faults()) {
+                System.err.println("endiveholdd: " + fault.path() + ": " + fault.reason());
+            }
+            Runtime.getRuntime().halt(EXIT_USAGE);
+            return;
+        }
+        Daemon daemon = new Daemon(read);
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> shutdown(daemon), "shutdown"));
+        daemon.start().onFailure(failure -> {
+            System.err.println("endiveholdd: cannot start: " + failure.getMessage());
+            Runtime.getRuntime().halt(EXIT_FAILED);
+        });
+    }
+
+    /** Waits for the graceful shutdown and ends with status 0, which a plain return from the hook would not. */
+    private static void shutdown(Daemon daemon) {
+        CountDownLatch stopped = new CountDownLatch(1);
+        daemon.shutdown().onComplete(done -> stopped.countDown());
+        long limit = daemon.context().settings().shutdown().lagMillis()
+                + daemon.context().settings().shutdown().drainMillis()
+                + TimeUnit.SECONDS.toMillis(10);
+        try {
+            boolean inTime = stopped.await(limit, TimeUnit.MILLISECONDS);
+            Runtime.getRuntime().halt(inTime ? EXIT_OK : EXIT_FAILED);
+        } catch (InterruptedException e) {
+            Runtime.getRuntime().halt(EXIT_FAILED);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/endivehold/daemon/settings/SettingsReaderTest.java
@@ -0,0 +1,82 @@
+package org.endivehold.daemon.settings;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vertx.core.json.JsonObject;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class SettingsReaderTest {
+    @TempDir
+    private Path folder;
+
+    private JsonObject good;
+
+    @BeforeEach
+    void writeToken() throws Exception {
+        Path token = Files.writeString(folder.resolve("token"), "secret");
+        good = new JsonObject()
+                .put("host", "h1")
+                .put("zone", "z1")
+                .put("operators", new JsonObject().put("tokenFile", token.toString()))
+                .put("store", new JsonObject().put("endpoints", List.of("http://127.0.0.1:1")))
+                .put("hosts", new JsonObject().put("url", "http://127.0.0.1:2/v1/hosts"));
+    }
+
+    private List<String> faultPaths(JsonObject settings) {
+        SettingsException e = assertThrows(SettingsException.class, () -> SettingsReader.parse(settings.encode()));
+        return e.faults().stream().map(SettingsFault::path).toList();
+    }
+
+    @Test
+    void fillsInDefaults() throws Exception {
+        Settings settings = SettingsReader.parse(good.encode());
+        assertEquals("h1", settings.host().value());
+        assertEquals(8080, settings.callers().port());
+        assertEquals(32, settings.grants().groups());
+        assertTrue(settings.peers().tls().isEmpty());
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "callers, port, 70000, /callers/port",
+        "limits, maxBodyBytes, 1, /limits/maxBodyBytes",
+        "grants, groups, 0, /grants/groups",
+        "grants, renewMillis, 3000, /grants/renewMillis",
+        "membership, ackTimeoutMillis, 500, /membership/ackTimeoutMillis",
+        "retry, maxAttempts, 0, /retry/maxAttempts",
+    })
+    void namesTheField(String section, String field, int value, String path) {
+        good.put(section, new JsonObject().put(field, value));
+        assertEquals(List.of(path), faultPaths(good).stream().distinct().toList());
+    }
+
+    @Test
+    void listsAllFaultsAtOnce() {
+        good.put("callers", new JsonObject().put("port", "eighty"));
+        good.put("colour", "green");
+        good.remove("zone");
+        List<String> paths = faultPaths(good);
+        assertEquals(List.of("/", "/callers/port", "/colour"), paths);
+    }
+
+    @Test
+    void namesAMissingFile() {
+        good.getJsonObject("operators").put("tokenFile", folder.resolve("none").toString());
+        assertEquals(List.of("/operators/tokenFile"), faultPaths(good));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"nothing", "[]", "{"})
+    void refusesWhatIsNotAnObject(String text) {
+        assertThrows(SettingsException.class, () -> SettingsReader.parse(text));
+    }
+}
