--- a/core/src/main/java/org/endivehold/grant/Capacity.java
+++ b/core/src/main/java/org/endivehold/grant/Capacity.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
+import org.endivehold.misc.StreamId;
 import org.endivehold.misc.UpstreamName;
 
 /**
@@ -68,4 +69,22 @@
      * @param memoryTokens their KV memory in tokens
      */
     void demand(UpstreamName upstream, int slots, long memoryTokens);
+
+    /**
+     * Tells that this daemon now answers for a stream on an engine: one that it starts, or one of a daemon that is gone
+     * and that it reads on for a caller. Such a stream is never freed as an orphan.
+     *
+     * @param upstream the engine
+     * @param stream the stream
+     */
+    default void streamStarted(UpstreamName upstream, StreamId stream) {}
+
+    /**
+     * Tells that this daemon has done with a stream: it ended, or its cancellation was asked for. If the engine still
+     * lists the stream a while later, the grantor has it cancelled.
+     *
+     * @param upstream the engine
+     * @param stream the stream
+     */
+    default void streamEnded(UpstreamName upstream, StreamId stream) {}
 }
--- /dev/null
+++ b/core/src/main/java/org/endivehold/grant/UnlimitedCapacity.java
@@ -0,0 +1,22 @@
+package org.endivehold.grant;
+
+import org.endivehold.config.Upstream;
+
+/** Baseline that never holds work back: every daemon may fill every upstream. */
+public final class UnlimitedCapacity extends ConfiguredCapacity {
+    /** Name in settings. */
+    public static final String NAME = "unlimited";
+
+    /** Creates a capacity without upstreams, until a configuration is activated. */
+    public UnlimitedCapacity() {}
+
+    @Override
+    public String name() {
+        return NAME;
+    }
+
+    @Override
+    protected Amount limit(Upstream upstream) {
+        return new Amount(Integer.MAX_VALUE, Long.MAX_VALUE);
+    }
+}
--- a/daemon/src/main/java/org/endivehold/daemon/Daemon.java
+++ b/daemon/src/main/java/org/endivehold/daemon/Daemon.java
@@ -6,6 +6,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import org.apache.commons.rng.simple.RandomSource;
+import org.endivehold.daemon.grant.CapacityService;
 import org.endivehold.daemon.kernel.Kernel;
 import org.endivehold.daemon.request.TraceLog;
 import org.endivehold.daemon.settings.Settings;
@@ -41,6 +42,7 @@
 
     private void assemble() {
         // Each service is added here; the kernel orders them by their needs.
+        kernel.add(new CapacityService(context));
     }
 
     /**
