--- /dev/null
+++ b/core/src/main/java/org/endivehold/placement/LengthBand.java
@@ -0,0 +1,47 @@
+package org.endivehold.placement;
+
+/** Bands of prompt lengths by which times are reported. */
+public enum LengthBand {
+    /** Below one thousand tokens. */
+    UNDER_1K(1_000, "under-1k"),
+    /** One thousand to four thousand tokens. */
+    FROM_1K(4_000, "1k-4k"),
+    /** Four thousand to sixteen thousand tokens. */
+    FROM_4K(16_000, "4k-16k"),
+    /** Sixteen thousand to one hundred thousand tokens. */
+    FROM_16K(100_000, "16k-100k"),
+    /** One hundred thousand tokens and more. */
+    FROM_100K(Long.MAX_VALUE, "100k-1M");
+
+    private final long end;
+    private final String word;
+
+    LengthBand(long end, String word) {
+        this.end = end;
+        this.word = word;
+    }
+
+    /**
+     * Finds the band of a prompt.
+     *
+     * @param promptTokens its length in tokens
+     * @return the band
+     */
+    public static LengthBand of(long promptTokens) {
+        for (LengthBand band : values()) {
+            if (promptTokens < band.end) {
+                return band;
+            }
+        }
+        return FROM_100K;
+    }
+
+    /**
+     * Returns the label used in metrics and reports.
+     *
+     * @return the label
+     */
+    public String word() {
+        return word;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/endivehold/daemon/request/GenerationMetrics.java
@@ -0,0 +1,96 @@
+package org.endivehold.daemon.request;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Timer;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Set;
+import org.endivehold.misc.CustomerName;
+import org.endivehold.placement.LengthBand;
+
+/**
+ * Histograms of generation requests by customer, class and length band. Only the first {@link #MAX_CUSTOMERS} customers
+ * have labels of their own, so that the number of time series is bounded.
+ */
+final class GenerationMetrics {
+    /** Customers with labels of their own. */
+    static final int MAX_CUSTOMERS = 100;
+
+    private static final String OTHER = "other";
+    private static final long[] BUCKET_MILLIS = {10, 25, 50, 100, 200, 390, 800, 1_600, 5_000, 20_000, 60_000, 300_000};
+
+    private final MeterRegistry meters;
+    private final Set<CustomerName> labelled = new HashSet<>();
+
+    /**
+     * Creates the histograms as they are first used.
+     *
+     * @param meters where they are kept
+     */
+    GenerationMetrics(MeterRegistry meters) {
+        this.meters = meters;
+    }
+
+    /**
+     * Records the time from arrival to the first token.
+     *
+     * @param call the call
+     * @param millis the time in milliseconds
+     */
+    void firstToken(GenerationCall call, long millis) {
+        record("endivehold.generation.first.token", call, millis);
+    }
+
+    /**
+     * Records the time from arrival to the start of the first attempt.
+     *
+     * @param call the call
+     * @param millis the time in milliseconds
+     */
+    void queued(GenerationCall call, long millis) {
+        record("endivehold.generation.queued", call, millis);
+    }
+
+    /**
+     * Records the time from arrival to the end, and counts the outcome.
+     *
+     * @param call the call
+     * @param outcome {@code complete} or the word of the failure
+     * @param millis the time in milliseconds
+     */
+    void ended(GenerationCall call, String outcome, long millis) {
+        record("endivehold.generation.total", call, millis);
+        meters.counter(
+                        "endivehold.generation.ended",
+                        "class",
+                        call.route().requestClass().word(),
+                        "outcome",
+                        outcome)
+                .increment();
+    }
+
+    private void record(String name, GenerationCall call, long millis) {
+        Timer.builder(name)
+                .tag("customer", label(call.customer()))
+                .tag("class", call.route().requestClass().word())
+                .tag("band", LengthBand.of(call.promptTokens()).word())
+                .serviceLevelObjectives(buckets())
+                .register(meters)
+                .record(Duration.ofMillis(millis));
+    }
+
+    private String label(CustomerName customer) {
+        if (labelled.size() < MAX_CUSTOMERS) {
+            labelled.add(customer);
+        }
+        return labelled.contains(customer) ? customer.value() : OTHER;
+    }
+
+    private static Duration[] buckets() {
+        Duration[] buckets = new Duration[BUCKET_MILLIS.length];
+        for (int i = 0; i < buckets.length; i++) {
+            buckets[i] = Duration.ofMillis(BUCKET_MILLIS[i]);
+        }
+        return buckets;
+    }
+}
