Tests of the caller front with hand-written fakes

Cause: the front's bounds and refusals had no proof. Change: tables of bad bodies, deadlines and keys; slow and vanished callers; oversize bodies; shutdown during a stream; reattach; plain routes.

--- /dev/null
+++ b/daemon/src/test/java/org/endivehold/daemon/http/CallerFrontTest.java
@@ -0,0 +1,261 @@
+package org.endivehold.daemon.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.RequestOptions;
+import io.vertx.core.json.JsonObject;
+import io.vertx.core.net.NetSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+import org.endivehold.daemon.Daemon;
+import org.endivehold.daemon.DaemonContext;
+import org.endivehold.daemon.kernel.Kernel;
+import org.endivehold.daemon.settings.Settings;
+import org.endivehold.daemon.settings.SettingsReader;
+import org.endivehold.daemon.settings.TestSettings;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class CallerFrontTest {
+    private static final int MAX_BODY_BYTES = 4_096;
+    private static final int BODY_TIMEOUT_MILLIS = 400;
+
+    @TempDir
+    private Path folder;
+
+    private final FakeRunners.Generation generation = new FakeRunners.Generation();
+    private DaemonContext context;
+    private CallerFront front;
+    private Kernel kernel;
+    private HttpClient client;
+
+    @BeforeEach
+    void start() throws Exception {
+        begin(true);
+    }
+
+    private void begin(boolean configured) throws Exception {
+        JsonObject json = TestSettings.json(folder, "h1")
+                .put(
+                        "limits",
+                        new JsonObject()
+                                .put("maxBodyBytes", MAX_BODY_BYTES)
+                                .put("bodyTimeoutMillis", BODY_TIMEOUT_MILLIS));
+        Settings settings = SettingsReader.parse(json.encode());
+        context = new Daemon(settings).context();
+        front = new CallerFront(context);
+        kernel = new Kernel()
+                .add(front)
+                .add(generation)
+                .add(new FakeRunners.Plain())
+                .add(new FakeRunners.Config(configured));
+        await(kernel.start());
+        client = context.vertx().createHttpClient();
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        await(context.vertx().close());
+    }
+
+    private static <T> T await(Future<T> future) throws Exception {
+        return future.toCompletionStage().toCompletableFuture().get(20, TimeUnit.SECONDS);
+    }
+
+    private record Reply(int status, String body, HttpClientResponse response) {
+        JsonObject json() {
+            return new JsonObject(body);
+        }
+    }
+
+    private Reply call(HttpMethod method, String path, Buffer body, String... headers) throws Exception {
+        RequestOptions options = new RequestOptions()
+                .setMethod(method)
+                .setHost("127.0.0.1")
+                .setPort(front.port())
+                .setURI(path);
+        for (int i = 0; i < headers.length; i += 2) {
+            options.putHeader(headers[i], headers[i + 1]);
+        }
+        return await(
+                client.request(options).compose(request -> request.send(body)).compose(response -> response.body()
+                        .map(buffer -> new Reply(response.statusCode(), buffer.toString(), response))));
+    }
+
+    private Reply post(String path, String body, String... headers) throws Exception {
+        String[] all = java.util.Arrays.copyOf(headers, headers.length + 2);
+        all[headers.length] = "Authorization";
+        all[headers.length + 1] = "Bearer " + FakeRunners.KEY;
+        return call(HttpMethod.POST, path, Buffer.buffer(body), all);
+    }
+
+    @Test
+    void streamsEvents() throws Exception {
+        Reply reply = post("/v1/completions", "{\"model\":\"rota\",\"prompt\":\"hello\",\"stream\":true}");
+        assertEquals(200, reply.status());
+        assertTrue(reply.response().getHeader("Content-Type").startsWith("text/event-stream"));
+        String[] events = reply.body().split("\n\n");
+        assertEquals(4, events.length, reply.body());
+        assertTrue(events[0].startsWith("id: 2\ndata: "));
+        assertTrue(events[0].contains("\"reattach\":\"token-1\""));
+        assertFalse(events[1].contains("reattach"));
+        assertTrue(events[2].contains("\"finish_reason\":\"stop\""));
+        assertEquals("data: [DONE]", events[3]);
+        assertEquals(2, generation.calls.get(0).promptTokens());
+    }
+
+    @Test
+    void answersWhole() throws Exception {
+        Reply reply = post(
+                "/v1/chat/completions", "{\"model\":\"drafts\",\"messages\":[{\"role\":\"user\",\"content\":\"hi\"}]}");
+        JsonObject choice = reply.json().getJsonArray("choices").getJsonObject(0);
+        assertEquals("one two three", choice.getJsonObject("message").getString("content"));
+        assertEquals("user: hi\n", generation.calls.get(0).prompt());
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            textBlock =
+                    """
+            {"model":"rota"                                          | 400 | bad-json
+            []                                                       | 400 | bad-json
+            {"prompt":"x"}                                           | 400 | bad-request
+            {"model":"rota","prompt":7}                              | 400 | bad-request
+            {"model":"rota","prompt":""}                             | 400 | bad-request
+            {"model":"rota","prompt":"x","max_tokens":-1}            | 400 | bad-request
+            {"model":"rota","prompt":"x","stream":"yes"}             | 400 | bad-request
+            {"model":"other","prompt":"x"}                           | 404 | unknown-model
+            """)
+    void refusesBadBodies(String body, int status, String title) throws Exception {
+        Reply reply = post("/v1/completions", body);
+        assertEquals(status, reply.status(), reply.body());
+        assertEquals(title, reply.json().getString("title"));
+        assertEquals("no", reply.json().getString("run"));
+        assertEquals(0, generation.calls.size());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"-5", "0", "soon", "99999999999999999999", "60001"})
+    void refusesBadDeadlines(String deadline) throws Exception {
+        Reply reply = post("/v1/completions", "{\"model\":\"rota\",\"prompt\":\"x\"}", Deadline.HEADER, deadline);
+        assertEquals("bad-deadline", reply.json().getString("title"));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"Bearer wrong", "Basic abc", "Bearer", "''"})
+    void refusesWrongKeys(String authorization) throws Exception {
+        Reply reply = call(HttpMethod.POST, "/v1/completions", Buffer.buffer("{}"), "Authorization", authorization);
+        assertEquals(401, reply.status());
+        assertFalse(reply.body().contains("wrong"));
+    }
+
+    @Test
+    void refusesBrokenEncoding() throws Exception {
+        Buffer body = Buffer.buffer("{\"model\":\"rota\",\"prompt\":\"")
+                .appendByte((byte) 0xC3)
+                .appendString("\"}");
+        Reply reply = call(HttpMethod.POST, "/v1/completions", body, "Authorization", "Bearer " + FakeRunners.KEY);
+        assertEquals("bad-encoding", reply.json().getString("title"));
+    }
+
+    @Test
+    void refusesLargeBodiesAndHoldsNoBytes() throws Exception {
+        String body = "x".repeat(MAX_BODY_BYTES + 1);
+        assertEquals(413, post("/v1/completions", body).status());
+        assertEquals(0, ((CallerFront.Status) front.status()).bufferedBytes());
+        assertEquals(0, ((CallerFront.Status) front.status()).inProgress());
+    }
+
+    @Test
+    void refusesSlowBodies() throws Exception {
+        Promise<String> answer = Promise.promise();
+        NetSocket socket = await(context.vertx().createNetClient().connect(front.port(), "127.0.0.1"));
+        socket.handler(data -> answer.tryComplete(data.toString(StandardCharsets.UTF_8)));
+        socket.write("POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + FakeRunners.KEY
+                + "\r\nContent-Length: 100\r\n\r\n{");
+        assertTrue(await(answer.future()).startsWith("HTTP/1.1 408"));
+    }
+
+    @Test
+    void cancelsWhenTheCallerVanishes() throws Exception {
+        generation.hold = true;
+        String body = "{\"model\":\"rota\",\"prompt\":\"x\",\"stream\":true}";
+        NetSocket socket = await(context.vertx().createNetClient().connect(front.port(), "127.0.0.1"));
+        socket.write("POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + FakeRunners.KEY
+                + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+        await(generation.held.future());
+        socket.close();
+        await(generation.cancelled.future());
+    }
+
+    @Test
+    void shutdownCutsNoStream() throws Exception {
+        generation.hold = true;
+        Future<Buffer> answer = client.request(HttpMethod.POST, front.port(), "127.0.0.1", "/v1/completions")
+                .compose(request -> request.putHeader("Authorization", "Bearer " + FakeRunners.KEY)
+                        .send("{\"model\":\"rota\",\"prompt\":\"x\",\"stream\":true}"))
+                .compose(HttpClientResponse::body);
+        var sink = await(generation.held.future());
+        Promise<Void> stopped = Promise.promise();
+        context.vertx().runOnContext(ignored -> kernel.shutdown().onComplete(stopped));
+        Promise<Void> refused = Promise.promise();
+        context.vertx().setPeriodic(5, id -> {
+            if (!((CallerFront.Status) front.status()).ready()) {
+                context.vertx().cancelTimer(id);
+                refused.complete();
+            }
+        });
+        await(refused.future());
+        assertFalse(stopped.future().isComplete());
+        context.vertx().runOnContext(ignored -> FakeRunners.Generation.finish(sink));
+        assertTrue(await(answer).toString().endsWith("data: [DONE]\n\n"));
+        await(stopped.future());
+    }
+
+    @Test
+    void fetchesTheRest() throws Exception {
+        String auth = "Bearer " + FakeRunners.KEY;
+        Reply rest = call(
+                HttpMethod.GET, "/v1/streams/token-1", Buffer.buffer(), "Authorization", auth, "Last-Event-ID", "7");
+        assertTrue(rest.body().contains("rest from 7"), rest.body());
+        Reply none = call(HttpMethod.GET, "/v1/streams/other", Buffer.buffer(), "Authorization", auth);
+        assertEquals(404, none.status());
+    }
+
+    @Test
+    void passesPlainCalls() throws Exception {
+        Reply refused = post("/shifts/confirm", "{}");
+        assertEquals("idempotency-key-required", refused.json().getString("title"));
+        Reply passed = post("/shifts/confirm?day=1", "{}", "Idempotency-Key", "k1");
+        assertEquals(201, passed.status());
+        assertEquals("/shifts/confirm?day=1 k1", passed.body());
+        assertEquals(null, passed.response().getHeader("Set-Cookie"));
+        assertEquals("/shifts/records/1 -", post("/shifts/records/1", "{}").body());
+        assertEquals(404, post("/shiftsrecords", "{}").status());
+        assertNotNull(passed.response().getHeader("Endivehold-Request-Id"));
+    }
+
+    @Test
+    void isNotReadyWithoutConfiguration() throws Exception {
+        stop();
+        begin(false);
+        assertEquals(200, call(HttpMethod.GET, "/livez", Buffer.buffer()).status());
+        assertEquals(503, call(HttpMethod.GET, "/readyz", Buffer.buffer()).status());
+        assertEquals(503, post("/v1/completions", "{}").status());
+    }
+}
