Add the peer transport: framing, MessagePack codec, TCP with mutual TLS

Daemons need typed messages to one another. Links dial on demand, back off with jitter, bound what waits and what is pending, and answer on the connection of the request.

--- /dev/null
+++ b/daemon/src/main/java/org/endivehold/daemon/peer/TcpPeerTransport.java
@@ -0,0 +1,206 @@
+package org.endivehold.daemon.peer;
+
+import io.vertx.core.Future;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetServer;
+import io.vertx.core.net.NetSocket;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BiFunction;
+import org.endivehold.daemon.DaemonContext;
+import org.endivehold.daemon.kernel.Kernel;
+import org.endivehold.daemon.kernel.Service;
+import org.endivehold.error.EndiveholdException;
+import org.endivehold.error.ErrorType;
+import org.endivehold.misc.HostId;
+import org.endivehold.wire.Hello;
+import org.endivehold.wire.Message;
+import org.endivehold.wire.MessageCodec;
+
+/**
+ * Messages between daemons over TCP. Each daemon dials every peer that it has something to send to, so a pair has one
+ * connection per direction; requests go out on the dialed one and their answers come back on it.
+ *
+ * <p>A peer that dials this daemon tells its own address in {@link Hello}, so a newcomer can be answered and called
+ * before any list shows it.
+ */
+public final class TcpPeerTransport implements Service, PeerTransport {
+    private static final int MAX_PEERS = 4_096;
+    private static final int MAX_ACCEPTED = 8_192;
+
+    private final DaemonContext context;
+    private final MessageCodec codec = new MessageCodec();
+    private final PeerHandlers handlers = new PeerHandlers();
+    private final Map<HostId, PeerLink> links = new HashMap<>();
+    private final Set<PeerConnection> accepted = new HashSet<>();
+    private NetServer server;
+    private NetClient client;
+
+    /**
+     * Creates the service.
+     *
+     * @param context the daemon's context
+     */
+    public TcpPeerTransport(DaemonContext context) {
+        this.context = context;
+    }
+
+    @Override
+    public String name() {
+        return NAME;
+    }
+
+    @Override
+    public Future<Void> start(Kernel kernel) {
+        client = context.vertx()
+                .createNetClient(PeerSockets.client(context.settings().peers()));
+        server = context.vertx()
+                .createNetServer(PeerSockets.server(context.settings().peers()));
+        server.connectHandler(this::accept);
+        return server.listen().mapEmpty();
+    }
+
+    @Override
+    public Future<Void> stop() {
+        links.values().forEach(PeerLink::close);
+        links.clear();
+        new ArrayList<>(accepted).forEach(PeerConnection::close);
+        return server.close().eventually(client::close);
+    }
+
+    /**
+     * Returns the port that peers connect to.
+     *
+     * @return the TCP port in use, also if the settings left the choice open
+     */
+    public int port() {
+        return server.actualPort();
+    }
+
+    /**
+     * Returns the peers to which a connection stands.
+     *
+     * @return their hosts, in order
+     */
+    public List<HostId> connected() {
+        return links.entrySet().stream()
+                .filter(e -> e.getValue().isOpen())
+                .map(Map.Entry::getKey)
+                .sorted()
+                .toList();
+    }
+
+    @Override
+    public void address(HostId peer, String address, int port) {
+        PeerLink link = links.get(peer);
+        if (link == null && links.size() < MAX_PEERS) {
+            Backoff backoff = new Backoff(context.random());
+            link = new PeerLink(peer, this::dial, context.vertx(), context.ticker(), context.errors(), backoff);
+            links.put(peer, link);
+        }
+        if (link != null) {
+            link.address(new PeerLink.PeerAddress(address, port));
+        }
+    }
+
+    @Override
+    public void send(HostId peer, Message message) {
+        PeerLink link = links.get(peer);
+        if (link != null) {
+            link.send(message);
+        }
+    }
+
+    @Override
+    public Future<Message> request(HostId peer, Message message, long timeoutMillis) {
+        PeerLink link = links.get(peer);
+        return link == null
+                ? Future.failedFuture(new EndiveholdException(ErrorType.PEER_UNREACHABLE, peer))
+                : link.request(message, timeoutMillis);
+    }
+
+    @Override
+    public <T extends Message> void handle(Class<T> kind, BiFunction<HostId, T, Future<? extends Message>> handler) {
+        handlers.put(kind, handler);
+    }
+
+    private Future<PeerConnection> dial(PeerLink.PeerAddress target, PeerConnection.Listener listener) {
+        return client.connect(target.port(), target.address()).compose(socket -> {
+            PeerConnection connection = connection(socket, listener);
+            try {
+                connection.write(0, hello());
+            } catch (EndiveholdException e) {
+                connection.close();
+                return Future.failedFuture(e);
+            }
+            return Future.succeededFuture(connection);
+        });
+    }
+
+    private void accept(NetSocket socket) {
+        if (accepted.size() >= MAX_ACCEPTED) {
+            socket.close();
+            return;
+        }
+        accepted.add(connection(socket, new Accepted()));
+    }
+
+    private PeerConnection connection(NetSocket socket, PeerConnection.Listener listener) {
+        int maxFrameBytes = context.settings().peers().maxFrameBytes();
+        return new PeerConnection(
+                socket, codec, maxFrameBytes, listener, e -> context.errors().report("peer", e));
+    }
+
+    private Hello hello() {
+        return new Hello(
+                context.settings().host(),
+                context.incarnation(),
+                context.settings().zone(),
+                context.settings().peers().address(),
+                port());
+    }
+
+    /** The accepting side: answers requests on the connection on which they came. */
+    private final class Accepted implements PeerConnection.Listener {
+        @Override
+        public void opened(PeerConnection connection, Hello hello) throws EndiveholdException {
+            connection.write(0, hello());
+            address(hello.host(), hello.address(), hello.port());
+            PeerLink link = links.get(hello.host());
+            if (link != null) {
+                link.encourage();
+            }
+        }
+
+        @Override
+        public void received(PeerConnection connection, int correlation, Message message) {
+            Future<Message> result = handlers.call(connection.hello().host(), message);
+            if (correlation <= 0) {
+                result.onFailure(e -> context.errors().report("peer", e));
+                return;
+            }
+            result.onComplete(done ->
+                    answer(connection, correlation, done.failed() ? PeerFailures.write(done.cause()) : done.result()));
+        }
+
+        @Override
+        public void closed(PeerConnection connection) {
+            accepted.remove(connection);
+        }
+
+        private void answer(PeerConnection connection, int correlation, Message message) {
+            if (message == null) {
+                return;
+            }
+            try {
+                connection.write(-correlation, message);
+            } catch (EndiveholdException e) {
+                context.errors().report("peer", e);
+            }
+        }
+    }
+}
--- a/wire/src/main/java/org/endivehold/wire/Hello.java
+++ b/wire/src/main/java/org/endivehold/wire/Hello.java
@@ -1,5 +1,6 @@
 package org.endivehold.wire;
 
+import com.fasterxml.jackson.annotation.JsonIgnore;
 import org.endivehold.misc.HostId;
 import org.endivehold.misc.Incarnation;
 import org.endivehold.misc.ZoneName;
@@ -10,5 +11,17 @@
  * @param host the sender's host
  * @param incarnation the sender's process
  * @param zone the sender's availability zone
+ * @param address IP address at which the sender accepts connections of peers
+ * @param port TCP port of that address
  */
-public record Hello(HostId host, Incarnation incarnation, ZoneName zone) implements Message {}
+public record Hello(HostId host, Incarnation incarnation, ZoneName zone, String address, int port) implements Message {
+    /**
+     * Tells whether all components arrived.
+     *
+     * @return false if one is missing or out of range
+     */
+    @JsonIgnore
+    public boolean isComplete() {
+        return host != null && incarnation != null && zone != null && address != null && port > 0 && port < 65_536;
+    }
+}
