Add the adapters to engines and plain services

Streams over server-sent events with resume, cancel and back-pressure; control calls on connections of their own.

--- a/daemon/src/main/java/org/endivehold/daemon/Daemon.java
+++ b/daemon/src/main/java/org/endivehold/daemon/Daemon.java
@@ -11,6 +11,7 @@
 import org.endivehold.daemon.peer.TcpPeerTransport;
 import org.endivehold.daemon.request.TraceLog;
 import org.endivehold.daemon.settings.Settings;
+import org.endivehold.daemon.upstream.UpstreamService;
 import org.endivehold.error.ErrorManager;
 import org.endivehold.misc.Incarnation;
 import org.endivehold.misc.Ticker;
@@ -45,6 +46,7 @@
         // Each service is added here; the kernel orders them by their needs.
         kernel.add(new TcpPeerTransport(context));
         kernel.add(new CapacityService(context));
+        kernel.add(new UpstreamService(context));
     }
 
     /**
--- /dev/null
+++ b/daemon/src/main/java/org/endivehold/daemon/upstream/HttpEngine.java
@@ -0,0 +1,162 @@
+package org.endivehold.daemon.upstream;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpMethod;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletionStage;
+import org.endivehold.config.Upstream;
+import org.endivehold.error.EndiveholdException;
+import org.endivehold.error.ErrorType;
+import org.endivehold.error.RunOutcome;
+import org.endivehold.misc.StreamId;
+import org.endivehold.misc.UpstreamName;
+import org.endivehold.upstream.CacheEvent;
+import org.endivehold.upstream.CacheHandle;
+import org.endivehold.upstream.Engine;
+import org.endivehold.upstream.EngineLoad;
+import org.endivehold.upstream.EngineOrder;
+import org.endivehold.upstream.GenerateRequest;
+import org.endivehold.upstream.StreamListener;
+import org.endivehold.upstream.protocol.CacheEventsBody;
+import org.endivehold.upstream.protocol.CompletionBody;
+import org.endivehold.upstream.protocol.EnginePaths;
+import org.endivehold.upstream.protocol.ExportedBody;
+import org.endivehold.upstream.protocol.OrderBody;
+import org.endivehold.upstream.protocol.ProtocolJson;
+
+/** An engine behind the interface of docs/ENGINE-INTERFACE.md. */
+final class HttpEngine implements Engine {
+    private static final long ACCEPT_MILLIS = 10_000;
+    private static final long CONTROL_MILLIS = 2_000;
+    private static final long PREFILL_MILLIS = 600_000;
+    private static final long CANCEL_RETRY_MILLIS = 500;
+    private static final int MAX_CANCEL_ATTEMPTS = 4;
+
+    private final Vertx vertx;
+    private final UpstreamName name;
+    private final UpstreamCalls streams;
+    private final UpstreamCalls control;
+
+    /**
+     * Creates the adapter.
+     *
+     * @param vertx runs timers
+     * @param streamClient connections for streams
+     * @param controlClient connections for control, so that streams cannot keep a cancellation waiting
+     * @param upstream the engine
+     */
+    HttpEngine(Vertx vertx, HttpClient streamClient, HttpClient controlClient, Upstream upstream) {
+        this.vertx = vertx;
+        name = upstream.name();
+        streams = new UpstreamCalls(vertx, streamClient, name, upstream.address(), upstream.port());
+        control = new UpstreamCalls(vertx, controlClient, name, upstream.address(), upstream.port());
+    }
+
+    @Override
+    public StreamHandle start(GenerateRequest request, StreamListener listener) {
+        StreamId id = request.stream();
+        EngineStream stream = stream(id, request.deliveredTokens(), listener);
+        Buffer body = Buffer.buffer(ProtocolJson.write(CompletionBody.of(request)));
+        open(stream, HttpMethod.POST, EnginePaths.COMPLETIONS, body);
+        return stream;
+    }
+
+    @Override
+    public StreamHandle resume(StreamId id, long offset, StreamListener listener) {
+        EngineStream stream = stream(id, offset, listener);
+        open(stream, HttpMethod.GET, EnginePaths.STREAMS + id + "?offset=" + offset, Buffer.buffer());
+        return stream;
+    }
+
+    @Override
+    public CompletionStage<Void> cancel(StreamId stream) {
+        return control(HttpMethod.DELETE, EnginePaths.STREAMS + stream)
+                .<Void>mapEmpty()
+                .toCompletionStage();
+    }
+
+    @Override
+    public CompletionStage<EngineLoad> load() {
+        return control(HttpMethod.GET, EnginePaths.LOAD)
+                .compose(body -> parse(body, EngineLoad.class))
+                .toCompletionStage();
+    }
+
+    @Override
+    public CompletionStage<Void> order(EngineOrder order) {
+        Buffer body = Buffer.buffer(ProtocolJson.write(OrderBody.of(order)));
+        return control.call(HttpMethod.POST, EnginePaths.ORDERS, Map.of(), body, CONTROL_MILLIS)
+                .compose(answer -> EngineErrors.isFenced(answer.status(), answer.body())
+                        ? Future.failedFuture(new EndiveholdException(ErrorType.ORDER_FENCED, name, order.epoch()))
+                        : checked(answer))
+                .<Void>mapEmpty()
+                .toCompletionStage();
+    }
+
+    @Override
+    public CompletionStage<CacheHandle> prefillAndExport(GenerateRequest request) {
+        Buffer body = Buffer.buffer(ProtocolJson.write(CompletionBody.of(request)));
+        return streams.call(HttpMethod.POST, EnginePaths.PREFILL, Map.of(), body, PREFILL_MILLIS)
+                .compose(this::checked)
+                .compose(answer -> parse(answer, ExportedBody.class))
+                .map(exported -> new CacheHandle(name, exported.id(), exported.tokens()))
+                .toCompletionStage();
+    }
+
+    @Override
+    public CompletionStage<Void> release(CacheHandle handle) {
+        return control(HttpMethod.DELETE, EnginePaths.CACHES + handle.id())
+                .<Void>mapEmpty()
+                .toCompletionStage();
+    }
+
+    @Override
+    public CompletionStage<List<CacheEvent>> cacheEvents(long after) {
+        return control(HttpMethod.GET, EnginePaths.CACHE_EVENTS + "?after=" + after)
+                .compose(body -> parse(body, CacheEventsBody.class))
+                .map(CacheEventsBody::events)
+                .toCompletionStage();
+    }
+
+    private EngineStream stream(StreamId id, long offset, StreamListener listener) {
+        return new EngineStream(vertx, name, id, offset, listener, () -> cancel(id, 1));
+    }
+
+    private void open(EngineStream stream, HttpMethod method, String path, Buffer body) {
+        streams.open(method, path)
+                .onSuccess(request -> stream.connected(request, body, ACCEPT_MILLIS))
+                .onFailure(stream::unreachable);
+    }
+
+    /** Cancels until confirmed or the attempts are spent; then the grantor finds the orphan. */
+    private void cancel(StreamId stream, int attempt) {
+        control(HttpMethod.DELETE, EnginePaths.STREAMS + stream).onFailure(failure -> {
+            if (attempt < MAX_CANCEL_ATTEMPTS) {
+                vertx.setTimer(CANCEL_RETRY_MILLIS * attempt, ignored -> cancel(stream, attempt + 1));
+            }
+        });
+    }
+
+    private Future<Buffer> control(HttpMethod method, String path) {
+        return control.call(method, path, Map.of(), Buffer.buffer(), CONTROL_MILLIS)
+                .compose(this::checked);
+    }
+
+    private Future<Buffer> checked(UpstreamCalls.Answer answer) {
+        return answer.status() < 300
+                ? Future.succeededFuture(answer.body())
+                : Future.failedFuture(EngineErrors.of(name, answer.status(), answer.body(), Optional.empty()));
+    }
+
+    private <T> Future<T> parse(Buffer body, Class<T> type) {
+        return ProtocolJson.read(body.getBytes(), type)
+                .map(Future::succeededFuture)
+                .orElseGet(() -> Future.failedFuture(new EndiveholdException(
+                        RunOutcome.UNKNOWN, ErrorType.UPSTREAM_PROTOCOL, name, "malformed answer")));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/endivehold/daemon/upstream/UpstreamCalls.java
@@ -0,0 +1,141 @@
+package org.endivehold.daemon.upstream;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.RequestOptions;
+import java.util.Map;
+import org.endivehold.error.EndiveholdException;
+import org.endivehold.error.ErrorType;
+import org.endivehold.error.RunOutcome;
+import org.endivehold.misc.UpstreamName;
+
+/** Calls to one upstream that have one whole answer. */
+final class UpstreamCalls {
+    private static final long MAX_ANSWER_BYTES = 16L << 20;
+
+    private final Vertx vertx;
+    private final HttpClient client;
+    private final UpstreamName upstream;
+    private final String address;
+    private final int port;
+
+    /**
+     * The whole answer to a call.
+     *
+     * @param response status and headers
+     * @param body the body
+     */
+    record Answer(HttpClientResponse response, Buffer body) {
+        int status() {
+            return response.statusCode();
+        }
+    }
+
+    UpstreamCalls(Vertx vertx, HttpClient client, UpstreamName upstream, String address, int port) {
+        this.vertx = vertx;
+        this.client = client;
+        this.upstream = upstream;
+        this.address = address;
+        this.port = port;
+    }
+
+    /** Opens a connection for a call; no byte has been sent when this fails. */
+    Future<HttpClientRequest> open(HttpMethod method, String path) {
+        return client.request(new RequestOptions()
+                .setHost(address)
+                .setPort(port)
+                .setMethod(method)
+                .setURI(path));
+    }
+
+    /**
+     * Makes a call.
+     *
+     * @param method HTTP method
+     * @param path path with query
+     * @param headers headers to send
+     * @param body the body
+     * @param timeoutMillis time for the whole call in milliseconds
+     * @return the answer; fails with {@code UPSTREAM_UNREACHABLE} if no byte was sent, with {@code UPSTREAM_BROKEN},
+     *     {@code UPSTREAM_TIMEOUT} or {@code UPSTREAM_PROTOCOL} and an unknown outcome otherwise
+     */
+    Future<Answer> call(HttpMethod method, String path, Map<String, String> headers, Buffer body, long timeoutMillis) {
+        Promise<Answer> promise = Promise.promise();
+        Exchange exchange = new Exchange(promise, timeoutMillis);
+        open(method, path)
+                .onSuccess(request -> {
+                    headers.forEach(request::putHeader);
+                    exchange.send(request, body);
+                })
+                .onFailure(cause -> exchange.fail(
+                        new EndiveholdException(ErrorType.UPSTREAM_UNREACHABLE, upstream).causedBy(cause)));
+        return promise.future();
+    }
+
+    /** One call in progress; the first of answer, failure and timeout decides it. */
+    private final class Exchange {
+        private final Promise<Answer> promise;
+        private final long timer;
+        private HttpClientRequest request;
+
+        Exchange(Promise<Answer> promise, long timeoutMillis) {
+            this.promise = promise;
+            timer = vertx.setTimer(Math.max(1, timeoutMillis), ignored -> timeout(timeoutMillis));
+        }
+
+        void send(HttpClientRequest open, Buffer body) {
+            if (promise.future().isComplete()) {
+                open.reset();
+                return;
+            }
+            request = open;
+            open.send(body).compose(this::read).onSuccess(this::succeed).onFailure(this::broke);
+        }
+
+        private Future<Answer> read(HttpClientResponse response) {
+            Promise<Answer> whole = Promise.promise();
+            Buffer body = Buffer.buffer();
+            response.handler(chunk -> {
+                body.appendBuffer(chunk);
+                if (body.length() > MAX_ANSWER_BYTES) {
+                    whole.tryFail(new EndiveholdException(
+                            RunOutcome.UNKNOWN, ErrorType.UPSTREAM_PROTOCOL, upstream, "the answer is too large"));
+                }
+            });
+            response.endHandler(ignored -> whole.tryComplete(new Answer(response, body)));
+            response.exceptionHandler(whole::tryFail);
+            return whole.future();
+        }
+
+        private void timeout(long timeoutMillis) {
+            RunOutcome run = request == null ? RunOutcome.NO : RunOutcome.UNKNOWN;
+            fail(new EndiveholdException(run, ErrorType.UPSTREAM_TIMEOUT, upstream, timeoutMillis));
+        }
+
+        private void broke(Throwable cause) {
+            if (cause instanceof EndiveholdException typed) {
+                fail(typed);
+            } else {
+                fail(new EndiveholdException(RunOutcome.UNKNOWN, ErrorType.UPSTREAM_BROKEN, upstream).causedBy(cause));
+            }
+        }
+
+        private void succeed(Answer answer) {
+            vertx.cancelTimer(timer);
+            promise.tryComplete(answer);
+        }
+
+        void fail(EndiveholdException failure) {
+            vertx.cancelTimer(timer);
+            if (promise.tryFail(failure) && request != null) {
+                request.reset();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/endivehold/daemon/upstream/UpstreamService.java
@@ -0,0 +1,129 @@
+package org.endivehold.daemon.upstream;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.PoolOptions;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import org.endivehold.config.ConfigurationSnapshot;
+import org.endivehold.config.Upstream;
+import org.endivehold.daemon.DaemonContext;
+import org.endivehold.daemon.config.ActiveConfiguration;
+import org.endivehold.daemon.kernel.Kernel;
+import org.endivehold.daemon.kernel.Service;
+import org.endivehold.error.EndiveholdException;
+import org.endivehold.error.ErrorType;
+import org.endivehold.misc.UpstreamName;
+import org.endivehold.upstream.Engine;
+import org.endivehold.upstream.PlainService;
+
+/**
+ * Keeps an adapter for each upstream of the configuration in force, and the connections that they share. An upstream
+ * whose address changes gets a new adapter; one that leaves the configuration loses its adapter, while streams that run
+ * already keep theirs.
+ */
+public final class UpstreamService implements Service, UpstreamDirectory {
+    private static final int CONNECT_MILLIS = 1_000;
+    private static final int KEEP_ALIVE_SECONDS = 15;
+    private static final int MAX_STREAMS = 512;
+    private static final int MAX_CONTROL = 8;
+    private static final int MAX_WAITING = 1_024;
+
+    private final Vertx vertx;
+    private final HttpClient streamClient;
+    private final HttpClient controlClient;
+    private final Map<UpstreamName, Upstream> known = new HashMap<>();
+    private final Map<UpstreamName, Engine> engines = new HashMap<>();
+    private final Map<UpstreamName, PlainService> services = new HashMap<>();
+
+    /**
+     * Creates the service.
+     *
+     * @param context the daemon's context
+     */
+    public UpstreamService(DaemonContext context) {
+        vertx = context.vertx();
+        streamClient = client(MAX_STREAMS);
+        controlClient = client(MAX_CONTROL);
+    }
+
+    @Override
+    public String name() {
+        return NAME;
+    }
+
+    @Override
+    public Set<String> needs() {
+        return Set.of(ActiveConfiguration.NAME);
+    }
+
+    @Override
+    public Future<Void> start(Kernel kernel) {
+        try {
+            kernel.find(ActiveConfiguration.NAME, ActiveConfiguration.class).listen(this::activated);
+        } catch (EndiveholdException e) {
+            return Future.failedFuture(e);
+        }
+        return Future.succeededFuture();
+    }
+
+    @Override
+    public Future<Void> stop() {
+        return streamClient.close().eventually(controlClient::close);
+    }
+
+    @Override
+    public Engine engine(UpstreamName name) throws EndiveholdException {
+        return found(engines.get(name), name);
+    }
+
+    @Override
+    public PlainService plain(UpstreamName name) throws EndiveholdException {
+        return found(services.get(name), name);
+    }
+
+    private static <T> T found(T adapter, UpstreamName name) throws EndiveholdException {
+        if (adapter == null) {
+            throw new EndiveholdException(ErrorType.NO_UPSTREAM, name);
+        }
+        return adapter;
+    }
+
+    private void activated(ConfigurationSnapshot snapshot) {
+        Map<UpstreamName, Upstream> next = snapshot.configuration().upstreams();
+        known.keySet().retainAll(next.keySet());
+        engines.keySet().retainAll(next.keySet());
+        services.keySet().retainAll(next.keySet());
+        for (Upstream upstream : next.values()) {
+            Upstream before = known.put(upstream.name(), upstream);
+            if (before == null || !sameAddress(before, upstream)) {
+                adapt(upstream);
+            }
+        }
+    }
+
+    private void adapt(Upstream upstream) {
+        UpstreamName name = upstream.name();
+        engines.remove(name);
+        services.remove(name);
+        switch (upstream.kind()) {
+            case ENGINE -> engines.put(name, new HttpEngine(vertx, streamClient, controlClient, upstream));
+            case PLAIN -> services.put(name, new HttpPlainService(vertx, streamClient, controlClient, upstream));
+            default -> throw new IllegalArgumentException(upstream.kind().name());
+        }
+    }
+
+    private static boolean sameAddress(Upstream a, Upstream b) {
+        return a.kind() == b.kind() && a.port() == b.port() && a.address().equals(b.address());
+    }
+
+    private HttpClient client(int perUpstream) {
+        HttpClientOptions options =
+                new HttpClientOptions().setConnectTimeout(CONNECT_MILLIS).setKeepAliveTimeout(KEEP_ALIVE_SECONDS);
+        PoolOptions pool = new PoolOptions().setHttp1MaxSize(perUpstream).setMaxWaitQueueSize(MAX_WAITING);
+        return vertx.createHttpClient(options, pool);
+    }
+}
