--- a/daemon/src/main/java/org/endivehold/daemon/http/Authenticator.java
+++ b/daemon/src/main/java/org/endivehold/daemon/http/Authenticator.java
@@ -23,6 +23,7 @@
 
     private final Map<String, List<Entry>> entries = new HashMap<>();
 
+    @SuppressWarnings("ArrayRecordComponent")
     private record Entry(byte[] hash, Customer customer) {}
 
     Authenticator(Configuration configuration) {
