--- a/core/src/main/java/org/endivehold/error/ErrorType.java
+++ b/core/src/main/java/org/endivehold/error/ErrorType.java
@@ -70,7 +70,9 @@
     LEDGER_IN_PROGRESS(700, Severity.INFO, "a call with this key is in progress"),
     LEDGER_OUTCOME_UNKNOWN(701, Severity.WARNING, "the outcome of the call with this key is unknown"),
     LEDGER_KEY_REUSED(702, Severity.INFO, "this key was used with another body"),
-    LEDGER_UNAVAILABLE(703, Severity.WARNING, "the call cannot be claimed now");
+    LEDGER_UNAVAILABLE(703, Severity.WARNING, "the call cannot be claimed now"),
+    LEDGER_ANSWER_NOT_KEPT(
+            704, Severity.INFO, "the call with this key ran with status %s; its answer was too large to be recorded");
 
     private final int code;
     private final Severity severity;
