Run plain calls, non-idempotent ones through the ledger

Calls to plain services take a permit of an upstream in a zone that is in, wait a bounded time for one, and end by their deadline. Idempotent calls are repeated elsewhere within the retry budget; non-idempotent ones are claimed first and repeated only while every attempt's run outcome is NO.

--- a/daemon/src/main/java/org/endivehold/daemon/Daemon.java
+++ b/daemon/src/main/java/org/endivehold/daemon/Daemon.java
@@ -8,6 +8,8 @@
 import org.apache.commons.rng.simple.RandomSource;
 import org.endivehold.daemon.grant.CapacityService;
 import org.endivehold.daemon.kernel.Kernel;
+import org.endivehold.daemon.ledger.LedgerService;
+import org.endivehold.daemon.request.PlainCallService;
 import org.endivehold.daemon.request.TraceLog;
 import org.endivehold.daemon.settings.Settings;
 import org.endivehold.error.ErrorManager;
@@ -43,6 +45,8 @@
     private void assemble() {
         // Each service is added here; the kernel orders them by their needs.
         kernel.add(new CapacityService(context));
+        kernel.add(new LedgerService(context));
+        kernel.add(new PlainCallService(context));
     }
 
     /**
--- /dev/null
+++ b/daemon/src/main/java/org/endivehold/daemon/ledger/ProcedureRunner.java
@@ -0,0 +1,98 @@
+package org.endivehold.daemon.ledger;
+
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import java.util.Optional;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.endivehold.error.EndiveholdException;
+import org.endivehold.error.ErrorType;
+import org.endivehold.ledger.LedgerCodec;
+import org.endivehold.ledger.LedgerProcedure;
+import org.endivehold.ledger.LedgerStep;
+import org.endivehold.misc.Ticker;
+import org.endivehold.platform.LeaseId;
+import org.endivehold.platform.PlatformStore;
+
+/** Carries one procedure out against the key-value service, on the daemon's event loop. */
+final class ProcedureRunner {
+    private final Vertx vertx;
+    private final Context context;
+    private final Ticker ticker;
+    private final PlatformStore store;
+    private final String key;
+    private final Optional<LeaseId> lease;
+    private final LedgerProcedure procedure;
+    private final Consumer<LeaseId> leaseLost;
+    private final Promise<LedgerStep> end = Promise.promise();
+
+    ProcedureRunner(
+            Vertx vertx,
+            Ticker ticker,
+            PlatformStore store,
+            String key,
+            Optional<LeaseId> lease,
+            LedgerProcedure procedure,
+            Consumer<LeaseId> leaseLost) {
+        this.vertx = vertx;
+        this.context = vertx.getOrCreateContext();
+        this.ticker = ticker;
+        this.store = store;
+        this.key = key;
+        this.lease = lease;
+        this.procedure = procedure;
+        this.leaseLost = leaseLost;
+    }
+
+    /** Runs the procedure; the future gives the step that is its end and never fails. */
+    Future<LedgerStep> run() {
+        carryOut(procedure.start());
+        return end.future();
+    }
+
+    private void carryOut(LedgerStep step) {
+        if (step instanceof LedgerStep.Swap swap) {
+            byte[] value = LedgerCodec.encode(swap.entry());
+            after(
+                    swap.delayMillis(),
+                    () -> store.compareAndSwap(key, swap.expected(), value, lease),
+                    result -> procedure.onSwap(result, ticker.millis()));
+        } else if (step instanceof LedgerStep.Read read) {
+            after(read.delayMillis(), () -> store.get(key), found -> procedure.onRead(found, ticker.millis()));
+        } else if (step instanceof LedgerStep.Delete delete) {
+            after(
+                    delete.delayMillis(),
+                    () -> store.delete(key, delete.expected()),
+                    deleted -> procedure.onDelete(deleted, ticker.millis()));
+        } else {
+            end.complete(step);
+        }
+    }
+
+    private <T> void after(long delayMillis, Supplier<CompletionStage<T>> call, Function<T, LedgerStep> report) {
+        if (delayMillis > 0) {
+            vertx.setTimer(delayMillis, timer -> now(call, report));
+        } else {
+            now(call, report);
+        }
+    }
+
+    private <T> void now(Supplier<CompletionStage<T>> call, Function<T, LedgerStep> report) {
+        Future.fromCompletionStage(call.get(), context)
+                .onSuccess(result -> carryOut(report.apply(result)))
+                .onFailure(failure -> carryOut(procedure.onFailure(typeOf(failure), ticker.millis())));
+    }
+
+    private ErrorType typeOf(Throwable failure) {
+        ErrorType type = EndiveholdException.unwrap(failure).type();
+        if (type == ErrorType.LEASE_LOST || type == ErrorType.STORE_REFUSED) {
+            lease.ifPresent(leaseLost);
+        }
+        // A failure without a type may come from anywhere in the call, so the write may have taken effect.
+        return type == ErrorType.INTERNAL ? ErrorType.STORE_UNKNOWN : type;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/endivehold/daemon/request/PlainCallService.java
@@ -0,0 +1,153 @@
+package org.endivehold.daemon.request;
+
+import io.micrometer.core.instrument.Timer;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.endivehold.admission.RetryBudget;
+import org.endivehold.config.Customer;
+import org.endivehold.daemon.DaemonContext;
+import org.endivehold.daemon.config.ActiveConfiguration;
+import org.endivehold.daemon.kernel.Kernel;
+import org.endivehold.daemon.kernel.Service;
+import org.endivehold.daemon.kernel.StatusContributor;
+import org.endivehold.daemon.ledger.LedgerService;
+import org.endivehold.daemon.upstream.UpstreamDirectory;
+import org.endivehold.error.EndiveholdException;
+import org.endivehold.error.ErrorType;
+import org.endivehold.grant.Capacity;
+import org.endivehold.misc.CustomerName;
+import org.endivehold.upstream.PlainAnswer;
+
+/**
+ * Runs calls to plain services: checks the customer's limits, and gives each call to a {@link PlainCallRun}. Every call
+ * ends by its deadline, and a non-idempotent one runs at most once.
+ */
+public final class PlainCallService implements Service, PlainRunner, StatusContributor {
+    private final DaemonContext context;
+    private final Map<CustomerName, Integer> open = new HashMap<>();
+    private final RetryBudget budget;
+
+    private ActiveConfiguration config;
+    private UpstreamDirectory upstreams;
+    private LedgerService ledger;
+    private PermitQueue permits;
+    private int total;
+    private Promise<Void> drained;
+
+    /**
+     * Creates the service.
+     *
+     * @param context the daemon's context
+     */
+    public PlainCallService(DaemonContext context) {
+        this.context = context;
+        this.budget = new RetryBudget(context.settings().retry().budgetRatio());
+    }
+
+    @Override
+    public String name() {
+        return NAME;
+    }
+
+    @Override
+    public Set<String> needs() {
+        return Set.of(ActiveConfiguration.NAME, "capacity", UpstreamDirectory.NAME, LedgerService.NAME);
+    }
+
+    @Override
+    public Future<Void> start(Kernel kernel) {
+        try {
+            config = kernel.find(ActiveConfiguration.NAME, ActiveConfiguration.class);
+            upstreams = kernel.find(UpstreamDirectory.NAME, UpstreamDirectory.class);
+            ledger = kernel.find(LedgerService.NAME, LedgerService.class);
+            permits = new PermitQueue(context, config, kernel.find("capacity", Capacity.class));
+        } catch (EndiveholdException e) {
+            return Future.failedFuture(e);
+        }
+        return Future.succeededFuture();
+    }
+
+    @Override
+    public Future<PlainAnswer> submit(PlainRequest request) {
+        try {
+            check(request);
+        } catch (EndiveholdException e) {
+            return Future.failedFuture(e);
+        }
+        long startedAt = context.ticker().millis();
+        total++;
+        open.merge(request.customer(), 1, Integer::sum);
+        PlainCallRun run = new PlainCallRun(context, upstreams, ledger, permits, budget, request);
+        return run.start().onComplete(done -> ended(request, startedAt, done.succeeded()));
+    }
+
+    private void check(PlainRequest request) throws EndiveholdException {
+        boolean keyed = request.idempotencyKey().isPresent();
+        if (!request.route().idempotent() && !keyed) {
+            throw new EndiveholdException(ErrorType.IDEMPOTENCY_KEY_REQUIRED);
+        }
+        if (keyed && request.idempotencyKey().get().length() > LedgerService.MAX_KEY_LENGTH) {
+            throw new EndiveholdException(
+                    ErrorType.BAD_REQUEST,
+                    "the Idempotency-Key is longer than " + LedgerService.MAX_KEY_LENGTH + " characters");
+        }
+        Customer customer = config.current()
+                .map(snapshot -> snapshot.configuration().customers().get(request.customer()))
+                .orElseThrow(() -> new EndiveholdException(ErrorType.NO_CONFIGURATION));
+        int limit = customer.maxConcurrent() + customer.maxQueued();
+        if (open.getOrDefault(request.customer(), 0) >= limit) {
+            throw new EndiveholdException(ErrorType.CUSTOMER_LIMIT, request.customer(), limit + " requests");
+        }
+    }
+
+    private void ended(PlainRequest request, long startedAt, boolean answered) {
+        total--;
+        open.computeIfPresent(request.customer(), (name, count) -> count > 1 ? count - 1 : null);
+        Timer.builder("plain.calls")
+                .tag("customer", request.customer().value())
+                .tag("route", request.route().name().value())
+                .tag("answered", Boolean.toString(answered))
+                .publishPercentileHistogram()
+                .register(context.meters())
+                .record(context.ticker().millis() - startedAt, TimeUnit.MILLISECONDS);
+        if (total == 0 && drained != null) {
+            drained.tryComplete();
+        }
+    }
+
+    @Override
+    public Future<Void> drain() {
+        if (total == 0) {
+            return Future.succeededFuture();
+        }
+        drained = Promise.promise();
+        return drained.future();
+    }
+
+    @Override
+    public Future<Void> stop() {
+        return Future.succeededFuture();
+    }
+
+    @Override
+    public String statusName() {
+        return NAME;
+    }
+
+    @Override
+    public PlainStatus status() {
+        return new PlainStatus(total, permits.waiting());
+    }
+
+    /**
+     * State of the plain calls at this daemon.
+     *
+     * @param open calls that are not answered yet
+     * @param waiting calls among them that wait for capacity
+     */
+    public record PlainStatus(int open, int waiting) {}
+}
--- /dev/null
+++ b/daemon/src/test/java/org/endivehold/daemon/request/PlainCallServiceTest.java
@@ -0,0 +1,345 @@
+package org.endivehold.daemon.request;
+
+import static org.endivehold.daemon.request.FakeConfiguration.BALANCE;
+import static org.endivehold.daemon.request.FakeConfiguration.CONFIRM;
+import static org.endivehold.daemon.request.FakeConfiguration.FIRST;
+import static org.endivehold.daemon.request.FakeConfiguration.PAYROLL;
+import static org.endivehold.daemon.request.FakeConfiguration.SECOND;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import java.util.stream.Stream;
+import org.apache.commons.rng.simple.RandomSource;
+import org.endivehold.config.AvailabilityZone;
+import org.endivehold.config.Route;
+import org.endivehold.config.Upstream;
+import org.endivehold.daemon.DaemonContext;
+import org.endivehold.daemon.kernel.Kernel;
+import org.endivehold.daemon.ledger.ClaimOutcome;
+import org.endivehold.daemon.ledger.FakeStore;
+import org.endivehold.daemon.ledger.FakeStore.Fate;
+import org.endivehold.daemon.ledger.LedgerService;
+import org.endivehold.daemon.request.FakeUpstreams.Reply;
+import org.endivehold.daemon.settings.Settings;
+import org.endivehold.error.EndiveholdException;
+import org.endivehold.error.ErrorManager;
+import org.endivehold.error.ErrorType;
+import org.endivehold.error.RunOutcome;
+import org.endivehold.misc.HostId;
+import org.endivehold.misc.Incarnation;
+import org.endivehold.misc.RequestId;
+import org.endivehold.misc.Ticker;
+import org.endivehold.misc.ZoneName;
+import org.endivehold.upstream.PlainAnswer;
+import org.endivehold.upstream.PlainCall;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+class PlainCallServiceTest {
+    private static final long LONG_MILLIS = 30_000;
+    private static final long SHORT_MILLIS = 300;
+    private static final int MAX_ANSWER_BYTES = 1_000;
+
+    private final Vertx vertx = Vertx.vertx();
+    private final Ticker ticker = Ticker.system();
+    private final FakeStore store = new FakeStore();
+    private final FakeUpstreams upstreams = new FakeUpstreams();
+    private final SlotCapacity capacity = new SlotCapacity();
+    private final FakeConfiguration config = new FakeConfiguration();
+    private final io.vertx.core.Context loop = vertx.getOrCreateContext();
+    private PlainCallService service;
+    private LedgerService ledger;
+    private int requests;
+
+    /** What a call came to: a status, or the type and run outcome of a failure. */
+    private record End(int status, ErrorType type, RunOutcome run) {
+        static End status(int status) {
+            return new End(status, null, null);
+        }
+
+        static End failure(ErrorType type, RunOutcome run) {
+            return new End(0, type, run);
+        }
+    }
+
+    @BeforeEach
+    void start() throws Exception {
+        capacity.free.putAll(Map.of(FIRST, 2, SECOND, 2));
+        service = new PlainCallService(context(7));
+        ledger = boot(7, service);
+    }
+
+    /** Starts the services of one daemon process. */
+    private LedgerService boot(long incarnation, PlainCallService plain) throws Exception {
+        LedgerService started = new LedgerService(context(incarnation));
+        Kernel kernel = new Kernel().add(store).add(upstreams).add(capacity).add(config);
+        onLoop(kernel.add(started).add(plain)::start);
+        return started;
+    }
+
+    private DaemonContext context(long incarnation) {
+        Settings settings = new Settings(
+                new HostId("entry-1"),
+                new ZoneName("a"),
+                1,
+                null,
+                null,
+                null,
+                null,
+                null,
+                new Settings.Limits(0, 0, 0, 0, 0, 10),
+                null,
+                null,
+                null,
+                new Settings.Retry(3, 0.2),
+                new Settings.LedgerSettings(72, MAX_ANSWER_BYTES),
+                null);
+        return new DaemonContext(
+                vertx,
+                settings,
+                ticker,
+                new ErrorManager(),
+                RandomSource.XO_RO_SHI_RO_128_PP.create(1),
+                new SimpleMeterRegistry(),
+                new TraceLog(ticker),
+                new Incarnation(incarnation));
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        vertx.close().toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
+    }
+
+    private <T> T onLoop(Supplier<Future<T>> step) throws Exception {
+        Promise<T> promise = Promise.promise();
+        loop.runOnContext(ignored -> step.get().onComplete(promise));
+        return promise.future().toCompletionStage().toCompletableFuture().get(20, TimeUnit.SECONDS);
+    }
+
+    private PlainRequest request(Route route, String key, String body, long millis) {
+        requests++;
+        byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+        return new PlainRequest(
+                new RequestId("r" + requests),
+                PAYROLL,
+                route,
+                new PlainCall("POST", "/" + route.name(), Map.of(), bytes, millis),
+                Optional.ofNullable(key),
+                ticker.millis() + millis);
+    }
+
+    private Future<PlainAnswer> submit(Route route, String key, String body, long millis) {
+        return service.submit(request(route, key, body, millis));
+    }
+
+    private End call(Route route, String key, String body, long millis) throws Exception {
+        try {
+            return End.status(onLoop(() -> submit(route, key, body, millis)).status());
+        } catch (ExecutionException e) {
+            EndiveholdException failure = EndiveholdException.unwrap(e);
+            return End.failure(failure.type(), failure.run());
+        }
+    }
+
+    private End confirm(String body) throws Exception {
+        return call(CONFIRM, "key-1", body, LONG_MILLIS);
+    }
+
+    static Stream<Arguments> confirmations() {
+        End ok = End.status(201);
+        End unknown = End.failure(ErrorType.LEDGER_OUTCOME_UNKNOWN, RunOutcome.UNKNOWN);
+        End broken = End.failure(ErrorType.UPSTREAM_BROKEN, RunOutcome.UNKNOWN);
+        End exhausted = End.failure(ErrorType.RETRIES_EXHAUSTED, RunOutcome.NO);
+        End unclaimed = End.failure(ErrorType.LEDGER_UNAVAILABLE, RunOutcome.NO);
+        End notKept = End.failure(ErrorType.LEDGER_ANSWER_NOT_KEPT, RunOutcome.PARTIAL);
+        Reply no = Reply.UNREACHABLE;
+        Fate out = Fate.UNAVAILABLE;
+        Fate lost = Fate.LOST_NEVER;
+        Fate landed = Fate.LOST_LANDED;
+        return Stream.of(
+                // replies of upstreams, fates of writes, first call, second call, runs
+                Arguments.of(List.of(), List.of(), ok, ok, 1),
+                Arguments.of(List.of(Reply.ERROR_STATUS), List.of(), End.status(500), End.status(500), 1),
+                Arguments.of(List.of(Reply.LARGE), List.of(), ok, notKept, 1),
+                Arguments.of(List.of(Reply.BROKEN), List.of(), broken, unknown, 1),
+                Arguments.of(List.of(no, Reply.OK), List.of(), ok, ok, 1),
+                Arguments.of(List.of(Reply.REFUSED, Reply.BROKEN), List.of(), broken, unknown, 1),
+                Arguments.of(List.of(no, no, no), List.of(), exhausted, ok, 1),
+                Arguments.of(List.of(), List.of(landed), ok, ok, 1),
+                Arguments.of(List.of(), List.of(lost), ok, ok, 1),
+                Arguments.of(List.of(), List.of(out), ok, ok, 1),
+                Arguments.of(List.of(), List.of(Fate.LEASE_LOST), ok, ok, 1),
+                Arguments.of(List.of(), List.of(Fate.DONE, landed), ok, ok, 1),
+                Arguments.of(List.of(), List.of(Fate.DONE, lost), ok, ok, 1),
+                Arguments.of(List.of(), List.of(Fate.DONE, out, out), ok, ok, 1),
+                Arguments.of(List.of(), List.of(out, out, out, out, out), unclaimed, ok, 1),
+                Arguments.of(List.of(Reply.BROKEN), List.of(Fate.DONE, landed), broken, unknown, 1));
+    }
+
+    @ParameterizedTest
+    @MethodSource("confirmations")
+    void runsAConfirmationAtMostOnce(List<Reply> replies, List<Fate> fates, End first, End second, int runs)
+            throws Exception {
+        upstreams.script.addAll(replies);
+        store.script(fates.toArray(Fate[]::new));
+        assertEquals(first, confirm("shift 1"));
+        onLoop(ledger::drain);
+        assertEquals(second, confirm("shift 1"));
+        assertEquals(runs, upstreams.runs);
+    }
+
+    @Test
+    void refusesAKeyWithAnotherBody() throws Exception {
+        assertEquals(End.status(201), confirm("shift 1"));
+        assertEquals(End.failure(ErrorType.LEDGER_KEY_REUSED, RunOutcome.NO), confirm("shift 2"));
+        assertEquals(1, upstreams.runs);
+    }
+
+    @Test
+    void refusesACallWithoutAKey() throws Exception {
+        End end = call(CONFIRM, null, "shift 1", LONG_MILLIS);
+        assertEquals(End.failure(ErrorType.IDEMPOTENCY_KEY_REQUIRED, RunOutcome.NO), end);
+    }
+
+    @Test
+    void tellsASecondCallThatTheFirstIsInProgress() throws Exception {
+        upstreams.script.add(Reply.SILENT);
+        onLoop(() -> {
+            submit(CONFIRM, "key-1", "shift 1", LONG_MILLIS);
+            return Future.succeededFuture();
+        });
+        assertEquals(End.failure(ErrorType.LEDGER_IN_PROGRESS, RunOutcome.UNKNOWN), confirm("shift 1"));
+        assertEquals(1, upstreams.runs);
+    }
+
+    @Test
+    void endsASilentCallByItsDeadlineWithUnknownOutcome() throws Exception {
+        upstreams.script.add(Reply.SILENT);
+        End first = call(CONFIRM, "key-1", "shift 1", SHORT_MILLIS);
+        assertEquals(End.failure(ErrorType.DEADLINE_EXCEEDED, RunOutcome.UNKNOWN), first);
+        onLoop(ledger::drain);
+        assertEquals(End.failure(ErrorType.LEDGER_OUTCOME_UNKNOWN, RunOutcome.UNKNOWN), confirm("shift 1"));
+        assertEquals(1, upstreams.runs);
+    }
+
+    @Test
+    void refusesTruthfullyWhileTheStoreIsOut() throws Exception {
+        store.setOut(true);
+        assertEquals(End.failure(ErrorType.LEDGER_UNAVAILABLE, RunOutcome.NO), confirm("shift 1"));
+        assertEquals(0, upstreams.runs);
+        assertEquals(0, capacity.taken());
+        store.setOut(false);
+        assertEquals(End.status(201), confirm("shift 1"));
+    }
+
+    @Test
+    void anIdempotentCallNeedsNoStore() throws Exception {
+        store.setOut(true);
+        assertEquals(End.status(201), call(BALANCE, null, "", LONG_MILLIS));
+    }
+
+    @Test
+    void looksUpTheKeyBeforeRefusingForCapacity() throws Exception {
+        assertEquals(End.status(201), confirm("shift 1"));
+        capacity.free.clear();
+        assertEquals(End.status(201), call(CONFIRM, "key-1", "shift 1", SHORT_MILLIS));
+        End other = call(CONFIRM, "key-2", "shift 1", SHORT_MILLIS);
+        assertEquals(End.failure(ErrorType.NO_UPSTREAM, RunOutcome.NO), other);
+        assertEquals(1, upstreams.runs);
+    }
+
+    @Test
+    void treatsAClaimOfADeadProcessAsUnknown() throws Exception {
+        ClaimOutcome claim = onLoop(() -> ledger.claim(request(CONFIRM, "key-1", "shift 1", LONG_MILLIS)));
+        assertTrue(claim instanceof ClaimOutcome.Held);
+        service = new PlainCallService(context(8));
+        boot(8, service);
+        assertEquals(End.failure(ErrorType.LEDGER_OUTCOME_UNKNOWN, RunOutcome.UNKNOWN), confirm("shift 1"));
+        assertEquals(0, upstreams.runs);
+    }
+
+    @Test
+    void bindsEntriesToOneLeaseThatOutlivesThem() throws Exception {
+        for (int i = 0; i < 5; i++) {
+            assertEquals(End.status(201), call(CONFIRM, "key-" + i, "shift 1", LONG_MILLIS));
+        }
+        assertEquals(List.of(Duration.ofHours(75)), store.leases());
+        assertEquals(10, store.writes());
+    }
+
+    static Stream<Arguments> balances() {
+        Reply no = Reply.UNREACHABLE;
+        Reply broken = Reply.BROKEN;
+        return Stream.of(
+                Arguments.of(List.of(), End.status(201), 1),
+                Arguments.of(List.of(broken), End.status(201), 2),
+                Arguments.of(List.of(Reply.SILENT), End.status(201), 2),
+                Arguments.of(List.of(no, Reply.REFUSED), End.status(201), 3),
+                Arguments.of(List.of(no, no, no), End.failure(ErrorType.RETRIES_EXHAUSTED, RunOutcome.NO), 3),
+                Arguments.of(List.of(broken, no, no), End.failure(ErrorType.RETRIES_EXHAUSTED, RunOutcome.UNKNOWN), 3));
+    }
+
+    @ParameterizedTest
+    @MethodSource("balances")
+    void repeatsAnIdempotentCallElsewhere(List<Reply> replies, End end, int calls) throws Exception {
+        upstreams.script.addAll(replies);
+        assertEquals(end, call(BALANCE, null, "", 2 * SHORT_MILLIS));
+        assertEquals(calls, upstreams.calls.size());
+        if (calls > 1) {
+            assertEquals(Set.of(FIRST, SECOND), Set.copyOf(upstreams.calls.subList(0, 2)));
+        }
+    }
+
+    @Test
+    void avoidsZonesThatAreOutAndUpstreamsThatLeave() throws Exception {
+        config.firstZone = AvailabilityZone.State.OUT;
+        for (int i = 0; i < 4; i++) {
+            assertEquals(End.status(201), call(BALANCE, null, "", LONG_MILLIS));
+        }
+        assertEquals(Set.of(SECOND), Set.copyOf(upstreams.calls));
+        config.secondState = Upstream.State.LEAVING;
+        assertEquals(End.failure(ErrorType.NO_UPSTREAM, RunOutcome.NO), call(BALANCE, null, "", LONG_MILLIS));
+    }
+
+    @Test
+    void servesAWaitingCallOnceCapacityIsFree() throws Exception {
+        capacity.free.clear();
+        PlainAnswer answer = onLoop(() -> {
+            Future<PlainAnswer> waiting = submit(BALANCE, null, "", LONG_MILLIS);
+            capacity.free.put(FIRST, 1);
+            return waiting;
+        });
+        assertEquals(201, answer.status());
+        assertEquals(0, capacity.taken());
+    }
+
+    @Test
+    void boundsTheCallsOfACustomer() throws Exception {
+        onLoop(() -> {
+            for (int i = 0; i < 3; i++) {
+                upstreams.script.add(Reply.SILENT);
+                submit(BALANCE, null, "", LONG_MILLIS);
+            }
+            return Future.succeededFuture();
+        });
+        End end = call(BALANCE, null, "", LONG_MILLIS);
+        assertEquals(End.failure(ErrorType.CUSTOMER_LIMIT, RunOutcome.NO), end);
+    }
+}
