--- a/daemon/src/test/java/org/endivehold/daemon/upstream/EventStreamParserTest.java
+++ b/daemon/src/test/java/org/endivehold/daemon/upstream/EventStreamParserTest.java
@@ -17,21 +17,21 @@
 import org.junit.jupiter.api.Test;
 
 class EventStreamParserTest {
-    private static final String TEXT = String.join(
-            "\n",
-            ": comment",
-            "",
-            "event: started",
-            "data: {\"a\":1}",
-            "",
-            "data: zwölf\r",
-            "\r",
-            "data: one",
-            "data: two",
-            "",
-            "data: [DONE]",
-            "",
-            "");
+    private static final String TEXT =
+            """
+            : comment
+
+            event: started
+            data: {"a":1}
+
+            data: zwölf\r
+            \r
+            data: one
+            data: two
+
+            data: [DONE]
+
+            """;
     private static final List<EventStreamParser.Event> EVENTS = List.of(
             new EventStreamParser.Event("started", "{\"a\":1}"),
             new EventStreamParser.Event("", "zwölf"),
