Add configuration objects as JSON, their checker, and publishing by compare-and-swap

Operators publish named objects; a set with any fault must not come into force, and two operators must not overwrite one another. The reader lists every fault with object, field and reason. The publisher writes immutable chunks, then swaps the head; a lost answer is settled from the head and the history, which each successor completes first. ActivationState decides what a daemon fetches and refuses any lower revision.

--- /dev/null
+++ b/core/src/main/java/org/endivehold/config/ConfigurationArchive.java
@@ -0,0 +1,134 @@
+package org.endivehold.config;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.endivehold.error.EndiveholdException;
+import org.endivehold.error.ErrorType;
+import org.endivehold.misc.Revision;
+import org.endivehold.platform.PlatformStore;
+import org.endivehold.platform.StoreEntry;
+
+/** Reads published configurations from the key-value service. */
+public final class ConfigurationArchive {
+    private final PlatformStore store;
+
+    /**
+     * Creates a reader.
+     *
+     * @param store the key-value service
+     */
+    public ConfigurationArchive(PlatformStore store) {
+        this.store = store;
+    }
+
+    /**
+     * The head as it stands in the key-value service.
+     *
+     * @param head the head
+     * @param storeRevision the service's revision of its last write
+     */
+    public record StoredHead(ConfigurationHead head, long storeRevision) {}
+
+    /**
+     * Reads the head.
+     *
+     * @return the head, or empty if nothing was ever published
+     */
+    public CompletionStage<Optional<StoredHead>> head() {
+        return store.get(ConfigurationKeys.HEAD).thenCompose(entry -> {
+            if (entry.isEmpty()) {
+                return CompletableFuture.completedFuture(Optional.empty());
+            }
+            return parse(entry.get())
+                    .thenApply(
+                            head -> Optional.of(new StoredHead(head, entry.get().revision())));
+        });
+    }
+
+    /**
+     * Reads the records of earlier revisions that are kept.
+     *
+     * @return the records, oldest first; without the head
+     */
+    public CompletionStage<List<ConfigurationHead>> history() {
+        return store.list(ConfigurationKeys.HISTORY).thenCompose(entries -> {
+            List<ConfigurationHead> heads = new ArrayList<>();
+            try {
+                for (StoreEntry entry : entries) {
+                    heads.add(ConfigurationHead.fromBytes(entry.value()));
+                }
+            } catch (EndiveholdException e) {
+                return CompletableFuture.failedFuture(e);
+            }
+            return CompletableFuture.completedFuture(heads);
+        });
+    }
+
+    /**
+     * Finds the record of a revision among the head and the history.
+     *
+     * @param revision the revision
+     * @return the record; fails with {@code REVISION_UNKNOWN} if it is not kept
+     */
+    public CompletionStage<ConfigurationHead> find(Revision revision) {
+        return head().thenCompose(stored -> {
+            if (stored.isPresent() && stored.get().head().revision().equals(revision)) {
+                return CompletableFuture.completedFuture(stored.get().head());
+            }
+            return store.get(ConfigurationKeys.history(revision)).thenCompose(entry -> {
+                if (entry.isEmpty()) {
+                    return CompletableFuture.failedFuture(
+                            new EndiveholdException(ErrorType.REVISION_UNKNOWN, revision));
+                }
+                return parse(entry.get());
+            });
+        });
+    }
+
+    /**
+     * Loads the configuration of a revision and checks its digest.
+     *
+     * @param head the record of the revision
+     * @return the configuration; fails with {@code REVISION_UNKNOWN} if a chunk is gone, {@code CONFIG_DIGEST} if its
+     *     digest differs
+     */
+    public CompletionStage<Configuration> load(ConfigurationHead head) {
+        return chunks(head, new ArrayList<>()).thenCompose(chunks -> {
+            try {
+                Configuration configuration = ConfigurationPacker.unpack(chunks);
+                if (!ConfigurationWriter.digest(configuration).equals(head.digest())) {
+                    throw new EndiveholdException(ErrorType.CONFIG_DIGEST, head.revision());
+                }
+                return CompletableFuture.completedFuture(configuration);
+            } catch (EndiveholdException e) {
+                return CompletableFuture.failedFuture(e);
+            }
+        });
+    }
+
+    private CompletionStage<List<byte[]>> chunks(ConfigurationHead head, List<byte[]> chunks) {
+        if (chunks.size() == head.chunks()) {
+            return CompletableFuture.completedFuture(chunks);
+        }
+        String key = ConfigurationKeys.chunk(head.publishId(), head.parent(), chunks.size());
+        return store.get(key).thenCompose(entry -> {
+            if (entry.isEmpty()) {
+                return CompletableFuture.failedFuture(
+                        new EndiveholdException(ErrorType.REVISION_UNKNOWN, head.revision()));
+            }
+            chunks.add(entry.get().value());
+            return chunks(head, chunks);
+        });
+    }
+
+    private static CompletionStage<ConfigurationHead> parse(StoreEntry entry) {
+        try {
+            return CompletableFuture.completedFuture(ConfigurationHead.fromBytes(entry.value()));
+        } catch (EndiveholdException e) {
+            return CompletableFuture.failedFuture(e);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/endivehold/config/ConfigurationReader.java
@@ -0,0 +1,193 @@
+package org.endivehold.config;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Stream;
+import org.endivehold.config.ConfigurationFault.Reason;
+import org.endivehold.misc.Names;
+
+/**
+ * Reads configuration objects from JSON and checks them; lists all faults at once.
+ *
+ * <p>A document is one object or an array of objects. Each has a {@code kind}, a {@code name} and the fields of its
+ * kind; {@code type} tells generation from plain routes and engines from plain services. A directory is read as all its
+ * {@code *.json} files, in order of names; how objects are spread over files has no meaning.
+ *
+ * <p>Example: {@code {"kind": "AvailabilityZone", "name": "north", "region": "quito", "state": "in"}}.
+ */
+public final class ConfigurationReader {
+    /** Most objects in a configuration. */
+    public static final int MAX_OBJECTS = 100_000;
+
+    /** Largest document in bytes. */
+    public static final int MAX_DOCUMENT_BYTES = 32 * 1024 * 1024;
+
+    private static final JsonMapper MAPPER = JsonMapper.builder()
+            .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+            .enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION)
+            .build();
+
+    private final List<ConfigurationFault> faults = new ArrayList<>();
+    private final Set<ObjectKey> seen = new HashSet<>();
+    private final ObjectParser parser = new ObjectParser();
+
+    private ConfigurationReader() {}
+
+    /**
+     * Reads and checks a directory.
+     *
+     * @param directory the directory
+     * @return the objects and all faults
+     */
+    public static ConfigurationReading readDirectory(Path directory) {
+        ConfigurationReader reader = new ConfigurationReader();
+        for (Path file : reader.files(directory)) {
+            reader.readFile(file);
+        }
+        return reader.check();
+    }
+
+    /**
+     * Reads and checks one document.
+     *
+     * @param source what to call the document in faults
+     * @param json the document in UTF-8
+     * @return the objects and all faults
+     */
+    public static ConfigurationReading readDocument(String source, byte[] json) {
+        ConfigurationReader reader = new ConfigurationReader();
+        reader.readBytes(source, json);
+        return reader.check();
+    }
+
+    /**
+     * Reads and checks objects that are parsed already.
+     *
+     * @param source what to call the objects in faults
+     * @param objects the objects
+     * @return the objects and all faults
+     */
+    static ConfigurationReading readObjects(String source, Iterable<? extends JsonNode> objects) {
+        ConfigurationReader reader = new ConfigurationReader();
+        int index = 0;
+        for (JsonNode object : objects) {
+            reader.readObject(source + "[" + index + "]", object);
+            index++;
+        }
+        return reader.check();
+    }
+
+    private ConfigurationReading check() {
+        Configuration configuration = parser.configuration();
+        ConfigurationChecker.check(configuration, seen, faults);
+        return new ConfigurationReading(configuration, List.copyOf(faults));
+    }
+
+    private List<Path> files(Path directory) {
+        try (Stream<Path> entries = Files.list(directory)) {
+            List<Path> files = entries.filter(file -> file.toString().endsWith(".json"))
+                    .sorted()
+                    .toList();
+            if (files.isEmpty()) {
+                fault(directory.toString(), Reason.UNREADABLE, "the directory has no *.json file");
+            }
+            return files;
+        } catch (IOException e) {
+            fault(directory.toString(), Reason.UNREADABLE, "not a readable directory");
+            return List.of();
+        }
+    }
+
+    private void readFile(Path file) {
+        String source = String.valueOf(file.getFileName());
+        try {
+            if (Files.size(file) > MAX_DOCUMENT_BYTES) {
+                fault(source, Reason.UNREADABLE, "the file exceeds " + MAX_DOCUMENT_BYTES + " bytes");
+                return;
+            }
+            readBytes(source, Files.readAllBytes(file));
+        } catch (IOException e) {
+            fault(source, Reason.UNREADABLE, String.valueOf(e.getMessage()));
+        }
+    }
+
+    private void readBytes(String source, byte[] json) {
+        JsonNode document;
+        try {
+            document = MAPPER.readTree(json);
+        } catch (JsonProcessingException e) {
+            fault(source, Reason.NOT_JSON, e.getOriginalMessage() + place(e));
+            return;
+        } catch (IOException e) {
+            fault(source, Reason.UNREADABLE, String.valueOf(e.getMessage()));
+            return;
+        }
+        if (document.isObject()) {
+            readObject(source, document);
+        } else if (document.isArray()) {
+            for (int i = 0; i < document.size(); i++) {
+                readObject(source + "[" + i + "]", document.get(i));
+            }
+        } else {
+            fault(source, Reason.NOT_JSON, "expected an object or an array of objects");
+        }
+    }
+
+    private void readObject(String place, JsonNode node) {
+        if (!(node instanceof ObjectNode object)) {
+            fault(place, Reason.NOT_JSON, "expected an object");
+            return;
+        }
+        String word = object.path("kind").asText("");
+        Optional<ObjectKind> kind = ObjectKind.of(word);
+        if (kind.isEmpty()) {
+            faults.add(new ConfigurationFault(place, "kind", Reason.UNKNOWN_KIND, "no kind is called '" + word + "'"));
+            return;
+        }
+        String name = object.path("name").asText("");
+        if (!Names.isValid(name)) {
+            faults.add(new ConfigurationFault(
+                    place,
+                    "name",
+                    name.isEmpty() ? Reason.MISSING : Reason.MALFORMED,
+                    "expected a name: '" + name + "'"));
+            return;
+        }
+        parse(new ObjectKey(kind.get(), name), object);
+    }
+
+    private void parse(ObjectKey key, ObjectNode object) {
+        if (!seen.add(key)) {
+            faults.add(new ConfigurationFault(
+                    key.toString(), "name", Reason.DUPLICATE, "another object of this kind has the same name"));
+            return;
+        }
+        if (seen.size() == MAX_OBJECTS + 1) {
+            fault(key.toString(), Reason.OUT_OF_RANGE, "more than " + MAX_OBJECTS + " objects");
+        }
+        parser.parse(key.kind(), key.name(), new ObjectFields(key.toString(), object, faults));
+    }
+
+    private void fault(String place, Reason reason, String detail) {
+        faults.add(new ConfigurationFault(place, ConfigurationFault.WHOLE_OBJECT, reason, detail));
+    }
+
+    private static String place(JsonProcessingException e) {
+        return e.getLocation() == null
+                ? ""
+                : " at line " + e.getLocation().getLineNr() + ", column "
+                        + e.getLocation().getColumnNr();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/endivehold/config/FetchOrder.java
@@ -0,0 +1,24 @@
+package org.endivehold.config;
+
+import java.util.Optional;
+import org.endivehold.misc.HostId;
+import org.endivehold.misc.Revision;
+
+/**
+ * Where to fetch a revision.
+ *
+ * @param revision the revision, at least
+ * @param digest the digest that its source announced
+ * @param head the record in the key-value service, if that is the source
+ * @param neighbour the daemon to ask, if a daemon is the source
+ */
+public record FetchOrder(
+        Revision revision, String digest, Optional<ConfigurationHead> head, Optional<HostId> neighbour) {
+    static FetchOrder fromStore(ConfigurationHead head) {
+        return new FetchOrder(head.revision(), head.digest(), Optional.of(head), Optional.empty());
+    }
+
+    static FetchOrder fromNeighbour(HostId host, Revision revision, String digest) {
+        return new FetchOrder(revision, digest, Optional.empty(), Optional.of(host));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/endivehold/config/ObjectKind.java
@@ -0,0 +1,56 @@
+package org.endivehold.config;
+
+import java.util.Optional;
+
+/** The kinds of named configuration objects, in the order of the canonical form. */
+public enum ObjectKind {
+    /** {@link Model}. */
+    MODEL("Model"),
+    /** {@link Version}. */
+    VERSION("Version"),
+    /** {@link Adapter}. */
+    ADAPTER("Adapter"),
+    /** {@link Route}. */
+    ROUTE("Route"),
+    /** {@link Customer}. */
+    CUSTOMER("Customer"),
+    /** {@link AvailabilityZone}. */
+    AVAILABILITY_ZONE("AvailabilityZone"),
+    /** {@link Upstream}. */
+    UPSTREAM("Upstream");
+
+    private final String word;
+
+    ObjectKind(String word) {
+        this.word = word;
+    }
+
+    /**
+     * Returns the word that stands in the {@code kind} field of an object.
+     *
+     * @return the word
+     */
+    public String word() {
+        return word;
+    }
+
+    /**
+     * Finds a kind by its word.
+     *
+     * @param word the word, may be null
+     * @return the kind, or empty if there is none of that word
+     */
+    public static Optional<ObjectKind> of(String word) {
+        for (ObjectKind kind : values()) {
+            if (kind.word.equals(word)) {
+                return Optional.of(kind);
+            }
+        }
+        return Optional.empty();
+    }
+
+    @Override
+    public String toString() {
+        return word;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/endivehold/config/PublishCleaner.java
@@ -0,0 +1,105 @@
+package org.endivehold.config;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.endivehold.config.ConfigurationArchive.StoredHead;
+import org.endivehold.error.EndiveholdException;
+import org.endivehold.misc.Revision;
+import org.endivehold.platform.PlatformStore;
+import org.endivehold.platform.StoreEntry;
+import org.jboss.logging.Logger;
+
+/**
+ * Deletes revisions that are no longer kept and the remains of publishes that cannot take effect any more.
+ *
+ * <p>The pending records are read before the head and the head before the history. So a publish whose id is in neither
+ * and whose expected head is gone can never take effect, and its chunks may go. A failure leaves remains for the next
+ * publish to delete.
+ */
+final class PublishCleaner {
+    private static final Logger log = Logger.getLogger(PublishCleaner.class);
+
+    private final PlatformStore store;
+    private final ConfigurationArchive archive;
+    private final int keepRevisions;
+
+    PublishCleaner(PlatformStore store, int keepRevisions) {
+        this.store = store;
+        this.archive = new ConfigurationArchive(store);
+        this.keepRevisions = keepRevisions;
+    }
+
+    /** Cleans in the background. */
+    void clean() {
+        store.list(ConfigurationKeys.PENDING)
+                .thenCompose(pending -> archive.head()
+                        .thenCompose(head -> archive.history().thenCompose(history -> clean(pending, head, history))))
+                .whenComplete((done, failure) -> {
+                    if (failure != null) {
+                        log.debugf("event=publish-cleaning-postponed reason=\"%s\"", failure);
+                    }
+                });
+    }
+
+    private CompletionStage<Void> clean(
+            List<StoreEntry> pending, Optional<StoredHead> stored, List<ConfigurationHead> history) {
+        CompletionStage<Void> chain = CompletableFuture.completedFuture(null);
+        if (stored.isEmpty()) {
+            return chain;
+        }
+        Set<String> published = new HashSet<>();
+        published.add(stored.get().head().publishId());
+        history.forEach(head -> published.add(head.publishId()));
+        for (StoreEntry entry : pending) {
+            chain = chain.thenCompose(
+                    done -> cleanPending(entry, published, stored.get().storeRevision()));
+        }
+        long oldest = stored.get().head().revision().value() - keepRevisions;
+        for (ConfigurationHead head : history) {
+            if (head.revision().value() < oldest) {
+                chain = chain.thenCompose(done -> deleteChunks(head.publishId(), head.parent()))
+                        .thenCompose(done -> deleteRecord(head.revision()));
+            }
+        }
+        return chain;
+    }
+
+    private CompletionStage<Void> cleanPending(StoreEntry entry, Set<String> published, long headRevision) {
+        PendingPublish pending;
+        try {
+            pending = PendingPublish.fromBytes(entry.value());
+        } catch (EndiveholdException e) {
+            return CompletableFuture.failedFuture(e);
+        }
+        if (published.contains(pending.publishId())) {
+            return delete(entry);
+        }
+        if (pending.expected() == headRevision) {
+            return CompletableFuture.completedFuture(null);
+        }
+        return deleteChunks(pending.publishId(), pending.parent()).thenCompose(done -> delete(entry));
+    }
+
+    private CompletionStage<Void> deleteRecord(Revision revision) {
+        return store.get(ConfigurationKeys.history(revision))
+                .thenCompose(entry -> entry.map(this::delete).orElse(CompletableFuture.completedFuture(null)));
+    }
+
+    private CompletionStage<Void> deleteChunks(String publishId, Revision parent) {
+        return store.list(ConfigurationKeys.chunks(publishId, parent)).thenCompose(entries -> {
+            CompletionStage<Void> chain = CompletableFuture.completedFuture(null);
+            for (StoreEntry entry : entries) {
+                chain = chain.thenCompose(done -> delete(entry));
+            }
+            return chain;
+        });
+    }
+
+    private CompletionStage<Void> delete(StoreEntry entry) {
+        return store.delete(entry.key(), entry.revision()).thenAccept(deleted -> {});
+    }
+}
--- a/core/src/main/java/org/endivehold/config/Upstream.java
+++ b/core/src/main/java/org/endivehold/config/Upstream.java
@@ -1,6 +1,8 @@
 package org.endivehold.config;
 
+import java.util.Collections;
 import java.util.Set;
+import java.util.TreeSet;
 import org.endivehold.misc.UpstreamName;
 import org.endivehold.misc.VersionName;
 import org.endivehold.misc.ZoneName;
@@ -34,6 +36,12 @@
         long memoryTokens,
         long prefillTokensPerSecond,
         boolean checksFencing) {
+    /** Slots where the upstream does not say. */
+    public static final int DEFAULT_SLOTS = 32;
+
+    /** Slots in cold start where the upstream does not say. */
+    public static final int DEFAULT_COLD_SLOTS = 2;
+
     /** What an upstream is. */
     public enum Kind {
         /** A model engine. */
@@ -49,4 +57,187 @@
         /** It finishes what it has and gets nothing new. */
         LEAVING
     }
+
+    /**
+     * Starts an upstream.
+     *
+     * @param name the upstream
+     * @param kind engine or plain service
+     * @return a builder with every other field at its default
+     */
+    public static Builder builder(UpstreamName name, Kind kind) {
+        return new Builder(name, kind);
+    }
+
+    /** Builds an upstream step by step. */
+    public static final class Builder {
+        private final UpstreamName name;
+        private final Kind kind;
+        private ZoneName zone;
+        private String address = "";
+        private int port;
+        private State state = State.SERVING;
+        private Set<VersionName> versions = Set.of();
+        private int slots = DEFAULT_SLOTS;
+        private int coldSlots = DEFAULT_COLD_SLOTS;
+        private long memoryTokens;
+        private long prefillTokensPerSecond;
+        private boolean checksFencing;
+
+        private Builder(UpstreamName name, Kind kind) {
+            this.name = name;
+            this.kind = kind;
+        }
+
+        /**
+         * Starts from an upstream, to change some of its fields.
+         *
+         * @param upstream the upstream
+         * @return a builder with the same fields
+         */
+        public static Builder from(Upstream upstream) {
+            return new Builder(upstream.name, upstream.kind)
+                    .zone(upstream.zone)
+                    .address(upstream.address)
+                    .port(upstream.port)
+                    .state(upstream.state)
+                    .versions(upstream.versions)
+                    .slots(upstream.slots)
+                    .coldSlots(upstream.coldSlots)
+                    .memoryTokens(upstream.memoryTokens)
+                    .prefillTokensPerSecond(upstream.prefillTokensPerSecond)
+                    .checksFencing(upstream.checksFencing);
+        }
+
+        /**
+         * Sets its availability zone.
+         *
+         * @param value the value
+         * @return this
+         */
+        public Builder zone(ZoneName value) {
+            zone = value;
+            return this;
+        }
+
+        /**
+         * Sets its IP address.
+         *
+         * @param value the value
+         * @return this
+         */
+        public Builder address(String value) {
+            address = value;
+            return this;
+        }
+
+        /**
+         * Sets its TCP port.
+         *
+         * @param value the value
+         * @return this
+         */
+        public Builder port(int value) {
+            port = value;
+            return this;
+        }
+
+        /**
+         * Sets whether it takes new work.
+         *
+         * @param value the value
+         * @return this
+         */
+        public Builder state(State value) {
+            state = value;
+            return this;
+        }
+
+        /**
+         * Sets the versions that an engine may serve.
+         *
+         * @param value the value
+         * @return this
+         */
+        public Builder versions(Set<VersionName> value) {
+            versions = value;
+            return this;
+        }
+
+        /**
+         * Sets the streams or calls that it bears at once when warm.
+         *
+         * @param value the value
+         * @return this
+         */
+        public Builder slots(int value) {
+            slots = value;
+            return this;
+        }
+
+        /**
+         * Sets the streams or calls that it bears at once in cold start.
+         *
+         * @param value the value
+         * @return this
+         */
+        public Builder coldSlots(int value) {
+            coldSlots = value;
+            return this;
+        }
+
+        /**
+         * Sets its KV memory in tokens.
+         *
+         * @param value the value
+         * @return this
+         */
+        public Builder memoryTokens(long value) {
+            memoryTokens = value;
+            return this;
+        }
+
+        /**
+         * Sets its nominal prefill rate.
+         *
+         * @param value the value
+         * @return this
+         */
+        public Builder prefillTokensPerSecond(long value) {
+            prefillTokensPerSecond = value;
+            return this;
+        }
+
+        /**
+         * Sets whether it refuses orders with an old fencing number.
+         *
+         * @param value the value
+         * @return this
+         */
+        public Builder checksFencing(boolean value) {
+            checksFencing = value;
+            return this;
+        }
+
+        /**
+         * Ends the building.
+         *
+         * @return the upstream
+         */
+        public Upstream build() {
+            return new Upstream(
+                    name,
+                    kind,
+                    zone,
+                    address,
+                    port,
+                    state,
+                    Collections.unmodifiableSortedSet(new TreeSet<>(versions)),
+                    slots,
+                    coldSlots,
+                    memoryTokens,
+                    prefillTokensPerSecond,
+                    checksFencing);
+        }
+    }
 }
--- a/core/src/main/java/org/endivehold/error/ErrorType.java
+++ b/core/src/main/java/org/endivehold/error/ErrorType.java
@@ -57,6 +57,12 @@
     CONFIG_CONFLICT(501, Severity.INFO, "another publish came first: %s"),
     CONFIG_DIGEST(502, Severity.ERROR, "revision %s does not match its digest"),
     CONFIG_UNKNOWN_OUTCOME(503, Severity.WARNING, "the outcome of publish %s is unknown"),
+    PUBLISH_ID_REUSED(504, Severity.INFO, "publish %s was used with another configuration"),
+    REVISION_UNKNOWN(505, Severity.INFO, "revision %s is not kept"),
+    OPERATOR_UNAUTHENTICATED(506, Severity.INFO, "no valid operators' token was given"),
+    OPERATOR_REQUEST(507, Severity.INFO, "malformed operators' request: %s"),
+    DAEMON_UNREACHABLE(508, Severity.WARNING, "no daemon answers: %s"),
+    OBJECT_UNKNOWN(509, Severity.INFO, "no %s is called %s"),
 
     // Peers and grants, from 600.
     PEER_UNREACHABLE(600, Severity.WARNING, "peer %s cannot be reached"),
--- /dev/null
+++ b/core/src/test/java/org/endivehold/config/ActivationStateTest.java
@@ -0,0 +1,161 @@
+package org.endivehold.config;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Optional;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.endivehold.misc.HostId;
+import org.endivehold.misc.Revision;
+import org.junit.jupiter.api.Test;
+
+class ActivationStateTest {
+    private static final ActivationTimes TIMES = ActivationTimes.STANDARD;
+    private static final HostId A = new HostId("a");
+    private static final HostId B = new HostId("b");
+    private static final Configuration EMPTY = ConfigurationSamples.read("[]");
+
+    private final ActivationState state = new ActivationState(TIMES, 0);
+
+    private static ConfigurationHead head(long revision) {
+        return new ConfigurationHead(new Revision(revision), "d" + revision, "p", 1, Revision.ZERO, "ana", 0);
+    }
+
+    private static Optional<ConfigurationSnapshot> load(ActivationState state, FetchOrder order, long revision) {
+        return state.loaded(order, new Revision(revision), "d" + revision, EMPTY, 0);
+    }
+
+    private FetchOrder next(long now) {
+        return state.next(now).orElseThrow();
+    }
+
+    private void hear(HostId host, long revision, long now) {
+        state.neighbourSeen(host, new Revision(revision), "d" + revision, now);
+    }
+
+    @Test
+    void fetchesTheHeadOnceAndActivatesIt() {
+        state.headSeen(Optional.of(head(3)), 0);
+        FetchOrder order = next(0);
+        assertEquals(Optional.empty(), state.next(1));
+        assertTrue(load(state, order, 3).isPresent());
+        assertEquals(Optional.empty(), state.next(2));
+    }
+
+    @Test
+    void neverGoesToALowerRevision() {
+        state.headSeen(Optional.of(head(5)), 0);
+        load(state, next(0), 5);
+        state.headSeen(Optional.of(head(4)), 1);
+        hear(A, 3, 1);
+        assertEquals(Optional.empty(), state.next(1));
+        assertTrue(state.isStoreBehind());
+        assertEquals(5, state.current().orElseThrow().revision().value());
+    }
+
+    @Test
+    void refusesAnotherDigestThanAnnounced() {
+        hear(A, 2, 0);
+        FetchOrder order = next(0);
+        assertTrue(state.loaded(order, new Revision(2), "forged", EMPTY, 0).isEmpty());
+        assertTrue(state.loaded(order, new Revision(1), "d1", EMPTY, 0).isEmpty());
+        assertTrue(state.current().isEmpty());
+    }
+
+    @Test
+    void followsNeighboursWhileTheStoreIsLost() {
+        hear(A, 7, 0);
+        hear(B, 7, 0);
+        FetchOrder first = next(0);
+        state.failed(first, 10);
+        FetchOrder second = next(10);
+        assertFalse(first.neighbour().equals(second.neighbour()));
+        state.failed(second, 20);
+        assertEquals(Optional.empty(), state.next(30));
+        assertEquals(7, next(10 + TIMES.retryMillis()).revision().value());
+    }
+
+    @Test
+    void failedStoreFetchGoesOnWithANeighbour() {
+        state.headSeen(Optional.of(head(2)), 0);
+        hear(A, 2, 0);
+        FetchOrder fromStore = next(0);
+        assertTrue(fromStore.head().isPresent());
+        assertEquals(Optional.empty(), state.next(TIMES.fetchMillis() - 1));
+        assertEquals(Optional.of(A), next(TIMES.fetchMillis()).neighbour());
+    }
+
+    @Test
+    void prefersTheHigherRevision() {
+        state.headSeen(Optional.of(head(2)), 0);
+        hear(A, 3, 0);
+        assertEquals(Optional.of(A), next(0).neighbour());
+    }
+
+    @Test
+    void isolatedOnlyWithoutStoreAndWithoutNeighbours() {
+        long late = TIMES.isolationMillis() + 1;
+        assertFalse(state.isIsolated(late), "a daemon alone stays in service");
+        hear(A, 1, 0);
+        assertTrue(state.isIsolated(late));
+        state.headSeen(Optional.empty(), late);
+        assertFalse(state.isIsolated(late), "the store is heard");
+        hear(A, 1, 2 * late);
+        assertFalse(state.isIsolated(2 * late), "a neighbour is heard");
+        state.neighbourGone(A);
+        assertFalse(state.isIsolated(9 * late), "no neighbour is left");
+    }
+
+    @Test
+    void pollsOftenOnlyWhileNoNeighbourIsHeard() {
+        hear(A, 1, 0);
+        assertFalse(state.startPoll(TIMES.lonePollMillis() - 1));
+        assertTrue(state.startPoll(TIMES.lonePollMillis()));
+        assertFalse(state.startPoll(TIMES.lonePollMillis() + 1));
+        hear(A, 1, TIMES.pollMillis() - 1);
+        assertFalse(state.startPoll(TIMES.pollMillis()));
+        hear(A, 1, TIMES.pollMillis() + TIMES.lonePollMillis());
+        assertTrue(state.startPoll(TIMES.pollMillis() + TIMES.lonePollMillis()));
+    }
+
+    @Test
+    void lostStoreStillBringsAZoneOutWithinFiveSeconds() {
+        hear(A, 1, 0);
+        load(state, next(0), 1);
+        long announced = 500;
+        hear(A, 2, announced);
+        hear(B, 2, announced);
+        FetchOrder silent = next(announced);
+        long retried = announced + TIMES.fetchMillis();
+        FetchOrder other = next(retried);
+        assertFalse(silent.neighbour().equals(other.neighbour()));
+        assertTrue(load(state, other, 2).isPresent());
+        assertTrue(retried + TIMES.fetchMillis() < 5_000, "two lost fetches fit into the bound");
+    }
+
+    @Property(seed = "4711", tries = 300)
+    void revisionInForceNeverFalls(@ForAll @Size(max = 60) int[] steps, @ForAll @IntRange(min = 1, max = 9) int top) {
+        ActivationState random = new ActivationState(TIMES, 0);
+        Optional<FetchOrder> order = Optional.empty();
+        long last = 0;
+        long now = 0;
+        for (int step : steps) {
+            now += Math.floorMod(step, 700);
+            long revision = Math.floorMod(step / 7, top) + 1L;
+            switch (Math.floorMod(step, 5)) {
+                case 0 -> random.headSeen(Optional.of(head(revision)), now);
+                case 1 -> random.neighbourSeen(A, new Revision(revision), "d" + revision, now);
+                case 2 -> order = random.next(now).or(() -> Optional.empty());
+                case 3 -> order.ifPresent(o -> load(random, o, revision));
+                default -> random.neighbourSeen(B, new Revision(revision), "d" + revision, now);
+            }
+            long inForce = random.current().map(s -> s.revision().value()).orElse(0L);
+            assertTrue(inForce >= last);
+            last = inForce;
+        }
+    }
+}
--- a/daemon/src/main/java/org/endivehold/daemon/http/HttpStatus.java
+++ b/daemon/src/main/java/org/endivehold/daemon/http/HttpStatus.java
@@ -39,12 +39,17 @@
      */
     public static int of(ErrorType type) {
         return switch (type) {
-            case BAD_REQUEST, BAD_JSON, BAD_ENCODING, BAD_DEADLINE, IDEMPOTENCY_KEY_REQUIRED, CONFIG_INVALID ->
-                BAD_REQUEST;
-            case UNAUTHENTICATED -> UNAUTHORIZED;
-            case UNKNOWN_MODEL, UNKNOWN_ROUTE, STREAM_UNKNOWN -> NOT_FOUND;
+            case BAD_REQUEST,
+                    BAD_JSON,
+                    BAD_ENCODING,
+                    BAD_DEADLINE,
+                    IDEMPOTENCY_KEY_REQUIRED,
+                    CONFIG_INVALID,
+                    OPERATOR_REQUEST -> BAD_REQUEST;
+            case UNAUTHENTICATED, OPERATOR_UNAUTHENTICATED -> UNAUTHORIZED;
+            case UNKNOWN_MODEL, UNKNOWN_ROUTE, STREAM_UNKNOWN, REVISION_UNKNOWN, OBJECT_UNKNOWN -> NOT_FOUND;
             case BODY_TIMEOUT -> REQUEST_TIMEOUT;
-            case LEDGER_IN_PROGRESS, LEDGER_OUTCOME_UNKNOWN, CONFIG_CONFLICT -> CONFLICT;
+            case LEDGER_IN_PROGRESS, LEDGER_OUTCOME_UNKNOWN, CONFIG_CONFLICT, PUBLISH_ID_REUSED -> CONFLICT;
             case BODY_TOO_LARGE -> TOO_LARGE;
             case PROMPT_TOO_LONG, LEDGER_KEY_REUSED -> UNPROCESSABLE;
             case CUSTOMER_LIMIT, QUEUE_FULL -> TOO_MANY;
