Add the key-value service and host list adapters and the configuration service

The store speaks the needed subset of etcd v3's JSON gateway. Each call has a time limit and a typed outcome: a write that was sent and not answered is unknown, a refused connection moves on to the next endpoint. The configuration service follows the head by watch and polling and swaps the whole set at once; an isolated daemon reports itself not ready.

--- a/daemon/src/main/java/org/endivehold/daemon/Daemon.java
+++ b/daemon/src/main/java/org/endivehold/daemon/Daemon.java
@@ -6,9 +6,12 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import org.apache.commons.rng.simple.RandomSource;
+import org.endivehold.daemon.config.ConfigurationService;
 import org.endivehold.daemon.grant.CapacityService;
 import org.endivehold.daemon.kernel.Kernel;
 import org.endivehold.daemon.peer.TcpPeerTransport;
+import org.endivehold.daemon.platform.EtcdStore;
+import org.endivehold.daemon.platform.HttpHostList;
 import org.endivehold.daemon.request.TraceLog;
 import org.endivehold.daemon.settings.Settings;
 import org.endivehold.error.ErrorManager;
@@ -43,6 +46,9 @@
 
     private void assemble() {
         // Each service is added here; the kernel orders them by their needs.
+        kernel.add(new EtcdStore(context));
+        kernel.add(new HttpHostList(context));
+        kernel.add(new ConfigurationService(context));
         kernel.add(new TcpPeerTransport(context));
         kernel.add(new CapacityService(context));
     }
