--- a/daemon/src/main/java/org/endivehold/daemon/Daemon.java
+++ b/daemon/src/main/java/org/endivehold/daemon/Daemon.java
@@ -9,9 +9,11 @@
 import org.endivehold.daemon.config.ConfigurationService;
 import org.endivehold.daemon.grant.CapacityService;
 import org.endivehold.daemon.kernel.Kernel;
+import org.endivehold.daemon.ledger.LedgerService;
 import org.endivehold.daemon.peer.TcpPeerTransport;
 import org.endivehold.daemon.platform.EtcdStore;
 import org.endivehold.daemon.platform.HttpHostList;
+import org.endivehold.daemon.request.PlainCallService;
 import org.endivehold.daemon.request.TraceLog;
 import org.endivehold.daemon.settings.Settings;
 import org.endivehold.error.ErrorManager;
@@ -51,6 +53,8 @@
         kernel.add(new ConfigurationService(context));
         kernel.add(new TcpPeerTransport(context));
         kernel.add(new CapacityService(context));
+        kernel.add(new LedgerService(context));
+        kernel.add(new PlainCallService(context));
     }
 
     /**
