--- a/bench/src/main/java/org/endivehold/bench/LocalRun.java
+++ b/bench/src/main/java/org/endivehold/bench/LocalRun.java
@@ -49,8 +49,8 @@
         Configuration configuration =
                 ConfigurationReader.readDirectory(examples.resolve("quito")).orThrow();
         shrink(configuration);
-        try (Fleet fleet = new Fleet(
-                FleetPlan.builder(configuration).daemons(DAEMONS).build())) {
+        try (Fleet fleet =
+                new Fleet(FleetPlan.builder(configuration).daemons(DAEMONS).build())) {
             long begin = System.nanoTime();
             fleet.start();
             System.out.printf(
@@ -111,8 +111,8 @@
     private Future<Void> print(HttpClientResponse response) {
         if (response.statusCode() != 200) {
             return response.body()
-                    .compose(text -> Future.failedFuture(
-                            new EndiveholdException(ErrorType.BAD_REQUEST, text.toString())));
+                    .compose(text ->
+                            Future.failedFuture(new EndiveholdException(ErrorType.BAD_REQUEST, text.toString())));
         }
         response.handler(RecordParser.newDelimited("\n", this::line));
         return response.end();
--- a/bench/src/main/java/org/endivehold/bench/fleet/Fleet.java
+++ b/bench/src/main/java/org/endivehold/bench/fleet/Fleet.java
@@ -245,9 +245,17 @@
                 .put("zone", zones.get(started % zones.size()).value())
                 .put("seed", plan.seed() + started)
                 .put("callers", free.copy())
-                .put("operators", free.copy().put("tokenFile", folder.resolve("operator-token").toString()))
+                .put(
+                        "operators",
+                        free.copy()
+                                .put(
+                                        "tokenFile",
+                                        folder.resolve("operator-token").toString()))
                 .put("peers", free.copy())
-                .put("store", new JsonObject().put("endpoints", List.of(standins.store().url())))
+                .put(
+                        "store",
+                        new JsonObject()
+                                .put("endpoints", List.of(standins.store().url())))
                 .put("hosts", new JsonObject().put("url", standins.hosts().url()))
                 .put("placement", new JsonObject().put("policy", plan.placement()))
                 .put("grants", new JsonObject().put("policy", plan.capacity()))
--- a/bench/src/main/java/org/endivehold/bench/fleet/FleetDaemon.java
+++ b/bench/src/main/java/org/endivehold/bench/fleet/FleetDaemon.java
@@ -44,7 +44,8 @@
 
     HostEntry entry() throws EndiveholdException {
         Settings settings = daemon.context().settings();
-        int port = daemon.kernel().find(PeerTransport.NAME, TcpPeerTransport.class).port();
+        int port =
+                daemon.kernel().find(PeerTransport.NAME, TcpPeerTransport.class).port();
         return new HostEntry(settings.host(), settings.zone(), ADDRESS, port, false);
     }
 }
--- a/bench/src/main/java/org/endivehold/bench/fleet/StandinSet.java
+++ b/bench/src/main/java/org/endivehold/bench/fleet/StandinSet.java
@@ -58,7 +58,9 @@
     }
 
     private int port(UpstreamName name) {
-        return engines.containsKey(name) ? engines.get(name).port() : plains.get(name).port();
+        return engines.containsKey(name)
+                ? engines.get(name).port()
+                : plains.get(name).port();
     }
 
     private static EngineParameters parameters(Upstream upstream, double speed) {
--- a/core/src/main/java/org/endivehold/config/Route.java
+++ b/core/src/main/java/org/endivehold/config/Route.java
@@ -84,6 +84,25 @@
             this.kind = kind;
         }
 
+        /**
+         * Starts from an existing route.
+         *
+         * @param route the route to copy
+         * @return a builder with every field of the route
+         */
+        public static Builder from(Route route) {
+            return new Builder(route.name(), route.kind())
+                    .version(route.version().orElse(null))
+                    .adapter(route.adapter().orElse(null))
+                    .pathPrefix(route.pathPrefix().orElse(null))
+                    .upstreams(route.upstreams())
+                    .idempotent(route.idempotent())
+                    .requestClass(route.requestClass())
+                    .defaultDeadlineMillis(route.defaultDeadlineMillis())
+                    .maxDeadlineMillis(route.maxDeadlineMillis())
+                    .longPromptTokens(route.longPromptTokens());
+        }
+
         /**
          * Sets the version that answers.
          *
--- a/daemon/src/main/java/org/endivehold/daemon/Daemon.java
+++ b/daemon/src/main/java/org/endivehold/daemon/Daemon.java
@@ -8,11 +8,13 @@
 import org.apache.commons.rng.simple.RandomSource;
 import org.endivehold.daemon.config.ConfigurationService;
 import org.endivehold.daemon.grant.CapacityService;
+import org.endivehold.daemon.http.CallerFront;
 import org.endivehold.daemon.kernel.Kernel;
 import org.endivehold.daemon.ledger.LedgerService;
 import org.endivehold.daemon.peer.TcpPeerTransport;
 import org.endivehold.daemon.platform.EtcdStore;
 import org.endivehold.daemon.platform.HttpHostList;
+import org.endivehold.daemon.request.GenerationService;
 import org.endivehold.daemon.request.PlainCallService;
 import org.endivehold.daemon.request.TraceLog;
 import org.endivehold.daemon.settings.Settings;
@@ -57,6 +59,8 @@
         kernel.add(new UpstreamService(context));
         kernel.add(new LedgerService(context));
         kernel.add(new PlainCallService(context));
+        kernel.add(new GenerationService(context));
+        kernel.add(new CallerFront(context));
     }
 
     /**
