--- a/daemon/src/main/java/org/endivehold/daemon/Daemon.java
+++ b/daemon/src/main/java/org/endivehold/daemon/Daemon.java
@@ -8,6 +8,7 @@
 import org.apache.commons.rng.simple.RandomSource;
 import org.endivehold.daemon.grant.CapacityService;
 import org.endivehold.daemon.kernel.Kernel;
+import org.endivehold.daemon.membership.MembershipService;
 import org.endivehold.daemon.peer.TcpPeerTransport;
 import org.endivehold.daemon.request.TraceLog;
 import org.endivehold.daemon.settings.Settings;
@@ -44,6 +45,7 @@
     private void assemble() {
         // Each service is added here; the kernel orders them by their needs.
         kernel.add(new TcpPeerTransport(context));
+        kernel.add(new MembershipService(context));
         kernel.add(new CapacityService(context));
     }
 
--- a/wire/src/main/java/org/endivehold/wire/MessageType.java
+++ b/wire/src/main/java/org/endivehold/wire/MessageType.java
@@ -5,7 +5,9 @@
     /** {@link Hello}. */
     HELLO(1, Hello.class),
     /** {@link Failure}. */
-    FAILURE(2, Failure.class);
+    FAILURE(2, Failure.class),
+    /** {@link HeartbeatMessage}. */
+    HEARTBEAT(10, HeartbeatMessage.class);
 
     private final int code;
     private final Class<? extends Message> kind;
