--- a/daemon/src/main/java/org/endivehold/daemon/Daemon.java
+++ b/daemon/src/main/java/org/endivehold/daemon/Daemon.java
@@ -8,8 +8,10 @@
 import org.apache.commons.rng.simple.RandomSource;
 import org.endivehold.daemon.grant.CapacityService;
 import org.endivehold.daemon.kernel.Kernel;
+import org.endivehold.daemon.ledger.LedgerService;
 import org.endivehold.daemon.membership.MembershipService;
 import org.endivehold.daemon.peer.TcpPeerTransport;
+import org.endivehold.daemon.request.PlainCallService;
 import org.endivehold.daemon.request.TraceLog;
 import org.endivehold.daemon.settings.Settings;
 import org.endivehold.error.ErrorManager;
@@ -47,6 +49,8 @@
         kernel.add(new TcpPeerTransport(context));
         kernel.add(new MembershipService(context));
         kernel.add(new CapacityService(context));
+        kernel.add(new LedgerService(context));
+        kernel.add(new PlainCallService(context));
     }
 
     /**
