--- a/bench/src/main/java/org/endivehold/bench/fleet/StandinSet.java
+++ b/bench/src/main/java/org/endivehold/bench/fleet/StandinSet.java
@@ -71,7 +71,7 @@
                 .versions(upstream.versions())
                 .slots(upstream.slots(), upstream.coldSlots())
                 .memory(upstream.memoryTokens())
-                .prefill(upstream.prefillTokensPerSecond())
+                .prefill((double) upstream.prefillTokensPerSecond())
                 .checksFencing(upstream.checksFencing())
                 .speed(speed)
                 .build();
