Add the fleet: stand-ins and daemons of a whole configuration in one process

The log of accepted work names the prompt, so that an untrue refusal can be found. Compiles and lints; not run yet, since the front is not assembled.

--- /dev/null
+++ b/bench/src/main/java/org/endivehold/bench/fleet/FleetDaemon.java
@@ -0,0 +1,125 @@
+package org.endivehold.bench.fleet;
+
+import java.util.Optional;
+import org.endivehold.config.ConfigurationSnapshot;
+import org.endivehold.daemon.Daemon;
+import org.endivehold.daemon.config.ActiveConfiguration;
+import org.endivehold.daemon.http.CallerFront;
+import org.endivehold.daemon.kernel.ReadinessCheck;
+import org.endivehold.daemon.peer.TcpPeerTransport;
+import org.endivehold.error.EndiveholdException;
+import org.endivehold.misc.HostId;
+import org.endivehold.misc.Revision;
+import org.endivehold.misc.ZoneName;
+import org.endivehold.platform.HostEntry;
+
+/** A daemon of a fleet, with the ports that it was given. */
+public final class FleetDaemon {
+    private final Daemon daemon;
+    private final int callerPort;
+    private final int peerPort;
+    private volatile boolean live = true;
+
+    /**
+     * Wraps a daemon that has started.
+     *
+     * @param daemon the daemon
+     * @throws EndiveholdException of type {@code SERVICE_MISSING} if it has no front or no peers
+     */
+    FleetDaemon(Daemon daemon) throws EndiveholdException {
+        this.daemon = daemon;
+        callerPort = daemon.kernel().find(CallerFront.NAME, CallerFront.class).port();
+        peerPort = daemon.kernel()
+                .find(TcpPeerTransport.NAME, TcpPeerTransport.class)
+                .port();
+    }
+
+    /**
+     * Returns the daemon.
+     *
+     * @return the daemon
+     */
+    public Daemon daemon() {
+        return daemon;
+    }
+
+    /**
+     * Returns the host.
+     *
+     * @return its name
+     */
+    public HostId host() {
+        return daemon.context().settings().host();
+    }
+
+    /**
+     * Returns the availability zone.
+     *
+     * @return its name
+     */
+    public ZoneName zone() {
+        return daemon.context().settings().zone();
+    }
+
+    /**
+     * Returns the port for callers.
+     *
+     * @return TCP port
+     */
+    public int callerPort() {
+        return callerPort;
+    }
+
+    /**
+     * Tells whether the daemon runs.
+     *
+     * @return false once it was killed or shut down
+     */
+    public boolean isLive() {
+        return live;
+    }
+
+    /**
+     * Returns the revision in force.
+     *
+     * @return the revision, {@link Revision#ZERO} before the first
+     */
+    public Revision revision() {
+        try {
+            return daemon.kernel()
+                    .find(ActiveConfiguration.NAME, ActiveConfiguration.class)
+                    .current()
+                    .map(ConfigurationSnapshot::revision)
+                    .orElse(Revision.ZERO);
+        } catch (EndiveholdException e) {
+            return Revision.ZERO;
+        }
+    }
+
+    /**
+     * Tells whether the platform's balancer would send callers here.
+     *
+     * @return true if it is live and nothing stands in the way
+     */
+    public boolean isReady() {
+        return live
+                && !revision().equals(Revision.ZERO)
+                && daemon.kernel().all(ReadinessCheck.class).stream()
+                        .map(ReadinessCheck::notReady)
+                        .noneMatch(Optional::isPresent);
+    }
+
+    HostEntry entry() {
+        return new HostEntry(host(), zone(), "127.0.0.1", peerPort, false);
+    }
+
+    void kill() throws EndiveholdException {
+        live = false;
+        Waiting.on(daemon.kill());
+    }
+
+    void shutdown() throws EndiveholdException {
+        live = false;
+        Waiting.on(daemon.shutdown());
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/endivehold/bench/fleet/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins and real daemons in one process, on loopback. */
+package org.endivehold.bench.fleet;
--- a/standin/src/main/java/org/endivehold/standin/engine/EngineModel.java
+++ b/standin/src/main/java/org/endivehold/standin/engine/EngineModel.java
@@ -162,6 +162,7 @@
                 parameters.zone().value(),
                 generation.id(),
                 generation.body.owner().host().value(),
+                Long.toHexString(generation.partHash),
                 live.size(),
                 bearable));
         if (live.size() > bearable) {
--- a/standin/src/main/java/org/endivehold/standin/log/StandinEvent.java
+++ b/standin/src/main/java/org/endivehold/standin/log/StandinEvent.java
@@ -27,10 +27,12 @@
      * @param zone its availability zone
      * @param id the stream or the call's key
      * @param owner host of the daemon, empty for a call
+     * @param work hash of the prompt in hexadecimal, or the call's key: finds the request that caused it
      * @param inFlight streams or calls in progress, with this one
      * @param bearable how many the upstream could bear then
      */
-    record Accepted(long at, String source, String zone, String id, String owner, int inFlight, int bearable)
+    record Accepted(
+            long at, String source, String zone, String id, String owner, String work, int inFlight, int bearable)
             implements StandinEvent {}
 
     /**
--- a/standin/src/main/java/org/endivehold/standin/plain/PlainStandin.java
+++ b/standin/src/main/java/org/endivehold/standin/plain/PlainStandin.java
@@ -86,7 +86,7 @@
     private void note(String key) {
         int bearable = isCold() ? parameters.coldSlots() : parameters.slots();
         long now = StandinLog.now();
-        log().add(new StandinEvent.Accepted(now, name(), parameters.zone().value(), key, "", inFlight, bearable));
+        log().add(new StandinEvent.Accepted(now, name(), parameters.zone().value(), key, "", key, inFlight, bearable));
         if (inFlight > bearable) {
             overloads++;
             log().add(new StandinEvent.Overload(now, name(), isCold(), inFlight, bearable));
