--- a/bench/src/main/java/org/endivehold/bench/fleet/Fleet.java
+++ b/bench/src/main/java/org/endivehold/bench/fleet/Fleet.java
@@ -1,266 +1,198 @@
 package org.endivehold.bench.fleet;
 
-import io.vertx.core.Future;
-import io.vertx.core.Promise;
-import io.vertx.core.Vertx;
-import io.vertx.core.json.JsonObject;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.ExecutionException;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
+import java.util.concurrent.CopyOnWriteArrayList;
 import org.endivehold.config.Configuration;
 import org.endivehold.config.PublishRequest;
-import org.endivehold.config.PublishResult;
 import org.endivehold.config.Publisher;
-import org.endivehold.daemon.config.ActiveConfiguration;
+import org.endivehold.daemon.Daemon;
 import org.endivehold.daemon.platform.EtcdStore;
+import org.endivehold.daemon.settings.Settings;
+import org.endivehold.daemon.settings.SettingsException;
 import org.endivehold.daemon.settings.SettingsReader;
 import org.endivehold.error.EndiveholdException;
 import org.endivehold.error.ErrorType;
 import org.endivehold.misc.Revision;
 import org.endivehold.misc.ZoneName;
-import org.endivehold.platform.HostEntry;
 import org.endivehold.platform.PlatformStore;
 
-/** Stand-ins and real daemons on loopback. Started and used from a thread that may wait. */
+/**
+ * Stand-ins for a whole configuration and real daemons before them, in one process on loopback. Used by one thread that
+ * is not an event loop.
+ */
 public final class Fleet implements AutoCloseable {
-    /** The operators' token of every daemon. */
-    public static final String OPERATOR_TOKEN = "local-operator-token";
-
-    private static final long WAIT_SECONDS = 30;
-    private static final long POLL_MILLIS = 10;
-    private static final int KEEP_REVISIONS = 50;
+    private static final int KEEP_REVISIONS = 20;
+    private static final String OPERATOR = "bench";
 
     private final FleetPlan plan;
-    private final Vertx vertx = Vertx.vertx();
     private final StandinSet standins;
-    private final List<FleetDaemon> daemons = new ArrayList<>();
-    private final List<ZoneName> zones;
-    private Path folder;
-    private Configuration published;
+    private final List<FleetDaemon> daemons = new CopyOnWriteArrayList<>();
+    private final Path tokenFile;
+    private Configuration configuration;
     private Revision revision = Revision.ZERO;
     private int started;
 
     /**
-     * Plans a fleet; nothing runs yet.
+     * Starts everything, publishes the configuration and waits until every daemon has it in force and is ready.
      *
-     * @param plan what it consists of
+     * @param plan what to start
+     * @throws EndiveholdException if something fails to start
      */
-    public Fleet(FleetPlan plan) {
+    public Fleet(FleetPlan plan) throws EndiveholdException {
         this.plan = plan;
-        standins = new StandinSet(vertx, plan.configuration(), plan.speed());
-        zones = List.copyOf(plan.configuration().zones().keySet());
-    }
-
-    /**
-     * Starts the stand-ins and the daemons, publishes the configuration and waits until it is in force everywhere.
-     *
-     * @throws EndiveholdException if any part does not start in time
-     */
-    public void start() throws EndiveholdException {
-        await(standins.start());
-        try {
-            folder = Files.createTempDirectory("endivehold");
-            Files.writeString(folder.resolve("operator-token"), OPERATOR_TOKEN);
-        } catch (IOException e) {
-            throw new EndiveholdException(ErrorType.INTERNAL, "no temporary folder").causedBy(e);
-        }
+        standins = new StandinSet(plan.configuration(), plan.speed());
+        tokenFile = tokenFile();
+        standins.start();
         for (int i = 0; i < plan.daemons(); i++) {
-            add();
+            addDaemon();
         }
-        publish(standins.addressed(plan.configuration()));
-        awaitRevision();
-    }
-
-    /**
-     * Starts one more daemon and lists it.
-     *
-     * @return the daemon
-     * @throws EndiveholdException if it does not start in time
-     */
-    public FleetDaemon add() throws EndiveholdException {
-        FleetDaemon daemon = new FleetDaemon(SettingsReader.parse(settings().encode()));
-        await(daemon.start());
-        daemons.add(daemon);
-        list();
-        return daemon;
+        publish(standins.configuration());
+        awaitReady();
     }
 
     /**
-     * Ends a daemon at once, as a crash would; the host list shows it until {@link #list()}.
+     * Returns the stand-ins.
      *
-     * @param daemon a daemon of this fleet
-     * @throws EndiveholdException if it does not end in time
+     * @return the stand-ins
      */
-    public void kill(FleetDaemon daemon) throws EndiveholdException {
-        daemons.remove(daemon);
-        await(daemon.daemon().kill());
+    public StandinSet standins() {
+        return standins;
     }
 
     /**
-     * Brings the host list up to date.
+     * Returns the daemons.
      *
-     * @throws EndiveholdException if a daemon lacks a service
+     * @return those that have been started, live or not
      */
-    public void list() throws EndiveholdException {
-        List<HostEntry> entries = new ArrayList<>();
-        for (FleetDaemon daemon : daemons) {
-            entries.add(daemon.entry());
-        }
-        standins.hosts().hosts(entries);
+    public List<FleetDaemon> daemons() {
+        return List.copyOf(daemons);
     }
 
     /**
-     * Publishes a configuration through the first daemon's store adapter.
+     * Returns the configuration published last.
      *
-     * @param configuration the configuration, with the stand-ins' addresses
-     * @throws EndiveholdException if the publish fails
+     * @return the configuration
      */
-    public void publish(Configuration configuration) throws EndiveholdException {
-        FleetDaemon first = daemons.get(0);
-        PlatformStore store = first.daemon().kernel().find(EtcdStore.NAME, PlatformStore.class);
-        PublishRequest request = new PublishRequest(
-                configuration, revision, "local-" + revision.next(), "local", System.currentTimeMillis());
-        Promise<PublishResult> promise = Promise.promise();
-        first.daemon().context().vertx().runOnContext(ignored -> Future.fromCompletionStage(
-                        new Publisher(store, KEEP_REVISIONS).publish(request))
-                .onComplete(promise));
-        revision = await(promise.future()).head().revision();
-        published = configuration;
+    public Configuration configuration() {
+        return configuration;
     }
 
     /**
-     * Waits until every daemon has the last published revision in force.
+     * Starts one more daemon on a new host, and puts it on the host list.
      *
-     * @throws EndiveholdException of type {@code INTERNAL} if one does not get it in time
+     * @return the daemon
+     * @throws EndiveholdException if it fails to start
      */
-    public void awaitRevision() throws EndiveholdException {
-        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
-        while (!everywhere()) {
-            if (System.nanoTime() > end) {
-                throw new EndiveholdException(ErrorType.INTERNAL, "revision " + revision + " is not in force");
-            }
-            pause();
-        }
+    public FleetDaemon addDaemon() throws EndiveholdException {
+        List<ZoneName> zones = List.copyOf(plan.configuration().zones().keySet());
+        ZoneName zone = zones.get(started % zones.size());
+        started++;
+        Daemon daemon = new Daemon(settings("host-" + started, zone));
+        Waiting.on(daemon.start());
+        FleetDaemon added = new FleetDaemon(daemon);
+        daemons.add(added);
+        listHosts();
+        return added;
     }
 
     /**
-     * Returns the last published configuration.
+     * Kills a daemon as a crash would; the host list still shows it.
      *
-     * @return the configuration
+     * @param victim the daemon
+     * @throws EndiveholdException if its threads do not end
      */
-    public Configuration published() {
-        return published;
+    public void kill(FleetDaemon victim) throws EndiveholdException {
+        victim.kill();
     }
 
-    /**
-     * Returns the live daemons.
-     *
-     * @return the daemons, oldest first
-     */
-    public List<FleetDaemon> daemons() {
-        return List.copyOf(daemons);
+    /** Brings the host list up to date. */
+    public void listHosts() {
+        standins.hosts()
+                .hosts(daemons.stream()
+                        .filter(FleetDaemon::isLive)
+                        .map(FleetDaemon::entry)
+                        .toList());
     }
 
     /**
-     * Returns the stand-ins.
+     * Publishes a configuration.
      *
-     * @return the stand-ins
+     * @param next the configuration
+     * @throws EndiveholdException if the publish fails
      */
-    public StandinSet standins() {
-        return standins;
+    public void publish(Configuration next) throws EndiveholdException {
+        FleetDaemon live =
+                daemons.stream().filter(FleetDaemon::isLive).findFirst().orElseThrow();
+        PlatformStore store = live.daemon().kernel().find(EtcdStore.NAME, PlatformStore.class);
+        PublishRequest request = new PublishRequest(
+                next, revision, OPERATOR + "-" + revision.next(), OPERATOR, System.currentTimeMillis());
+        revision = Waiting.on(new Publisher(store, KEEP_REVISIONS).publish(request))
+                .head()
+                .revision();
+        configuration = next;
     }
 
     /**
-     * Returns the Vert.x instance of the stand-ins and of callers.
+     * Waits until every live daemon is ready with the revision published last.
      *
-     * @return the instance
+     * @throws EndiveholdException of type {@code INTERNAL} if one is not in time
      */
-    public Vertx vertx() {
-        return vertx;
+    public void awaitReady() throws EndiveholdException {
+        if (!Waiting.until(
+                () -> daemons.stream()
+                        .filter(FleetDaemon::isLive)
+                        .allMatch(d -> d.isReady() && d.revision().compareTo(revision) >= 0),
+                plan.settleMillis())) {
+            throw new EndiveholdException(ErrorType.INTERNAL, "not all daemons are ready with revision " + revision);
+        }
     }
 
-    /** Shuts all daemons down gracefully and ends the stand-ins. */
     @Override
-    public void close() {
-        Future<Void> chain = Future.succeededFuture();
+    public void close() throws EndiveholdException {
         for (FleetDaemon daemon : daemons) {
-            chain = chain.eventually(daemon.daemon()::shutdown);
+            if (daemon.isLive()) {
+                daemon.kill();
+            }
         }
+        standins.stop();
         try {
-            await(chain.eventually(vertx::close));
-        } catch (EndiveholdException e) {
-            vertx.close();
+            Files.deleteIfExists(tokenFile);
+        } catch (IOException e) {
+            throw new EndiveholdException(ErrorType.INTERNAL, "cannot delete " + tokenFile).causedBy(e);
         }
     }
 
-    /**
-     * Waits for a result.
-     *
-     * @param future the result to come
-     * @param <T> its type
-     * @return the result
-     * @throws EndiveholdException its failure, or {@code INTERNAL} if it takes too long
-     */
-    public static <T> T await(Future<T> future) throws EndiveholdException {
+    private Settings settings(String host, ZoneName zone) throws EndiveholdException {
+        ObjectNode root = JsonNodeFactory.instance.objectNode();
+        root.put("host", host).put("zone", zone.value()).put("seed", plan.seed() + started);
+        root.putObject("callers").put("address", "127.0.0.1").put("port", 0);
+        root.putObject("operators").put("port", 0).put("tokenFile", tokenFile.toString());
+        root.putObject("peers").put("port", 0);
+        root.putObject("store").putArray("endpoints").add(standins.store().url());
+        root.putObject("hosts").put("url", standins.hosts().url()).put("pollMillis", 500);
+        root.putObject("grants").put("policy", plan.policy().capacity());
+        root.putObject("placement").put("policy", plan.policy().placement());
+        root.putObject("shutdown").put("lagMillis", 200);
         try {
-            return future.toCompletionStage().toCompletableFuture().get(WAIT_SECONDS, TimeUnit.SECONDS);
-        } catch (ExecutionException | TimeoutException e) {
-            throw EndiveholdException.unwrap(e);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            throw EndiveholdException.unwrap(e);
-        }
-    }
-
-    private boolean everywhere() throws EndiveholdException {
-        for (FleetDaemon daemon : daemons) {
-            ActiveConfiguration active =
-                    daemon.daemon().kernel().find(ActiveConfiguration.NAME, ActiveConfiguration.class);
-            if (active.current().isEmpty() || !active.current().get().revision().equals(revision)) {
-                return false;
-            }
+            return SettingsReader.parse(root.toString());
+        } catch (SettingsException e) {
+            throw new EndiveholdException(ErrorType.INTERNAL, e.getMessage()).causedBy(e);
         }
-        return true;
     }
 
-    private static void pause() throws EndiveholdException {
+    private static Path tokenFile() throws EndiveholdException {
         try {
-            TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            throw EndiveholdException.unwrap(e);
+            Path file = Files.createTempFile("endivehold-bench", ".token");
+            Files.writeString(file, "bench-operator-token\n", StandardCharsets.UTF_8);
+            return file;
+        } catch (IOException e) {
+            throw new EndiveholdException(ErrorType.INTERNAL, "cannot write a token file").causedBy(e);
         }
     }
-
-    private JsonObject settings() {
-        started++;
-        JsonObject free = new JsonObject().put("port", 0);
-        JsonObject json = new JsonObject()
-                .put("host", "entry-" + started)
-                .put("zone", zones.get(started % zones.size()).value())
-                .put("seed", plan.seed() + started)
-                .put("callers", free.copy())
-                .put(
-                        "operators",
-                        free.copy()
-                                .put(
-                                        "tokenFile",
-                                        folder.resolve("operator-token").toString()))
-                .put("peers", free.copy())
-                .put(
-                        "store",
-                        new JsonObject()
-                                .put("endpoints", List.of(standins.store().url())))
-                .put("hosts", new JsonObject().put("url", standins.hosts().url()))
-                .put("placement", new JsonObject().put("policy", plan.placement()))
-                .put("grants", new JsonObject().put("policy", plan.capacity()))
-                .put("shutdown", new JsonObject().put("lagMillis", 0));
-        plan.settings().accept(json);
-        return json;
-    }
 }
--- a/bench/src/main/java/org/endivehold/bench/fleet/FleetPlan.java
+++ b/bench/src/main/java/org/endivehold/bench/fleet/FleetPlan.java
@@ -1,32 +1,23 @@
 package org.endivehold.bench.fleet;
 
-import io.vertx.core.json.JsonObject;
-import java.util.function.Consumer;
 import org.endivehold.config.Configuration;
 
 /**
- * What a {@link Fleet} consists of.
+ * What a fleet consists of.
  *
- * @param configuration the configuration to publish; addresses and ports of upstreams are replaced
+ * @param configuration the configuration; its upstreams become stand-ins
+ * @param policy how daemons decide
  * @param daemons number of daemons
- * @param placement name of the placement policy
- * @param capacity name of the capacity policy
- * @param speed factor by which the stand-in engines run faster than nominal
- * @param seed seed of all random numbers
- * @param settings changes to the JSON settings of each daemon
+ * @param speed factor that speeds the engines up
+ * @param seed seed of the daemons' random numbers
+ * @param settleMillis longest time until all daemons are ready, in milliseconds
  */
 public record FleetPlan(
-        Configuration configuration,
-        int daemons,
-        String placement,
-        String capacity,
-        double speed,
-        long seed,
-        Consumer<JsonObject> settings) {
+        Configuration configuration, FleetPolicy policy, int daemons, double speed, long seed, long settleMillis) {
     /**
-     * Starts a builder: three daemons, policy {@code least-predicted-time}, capacity {@code granted}, speed 1, seed 1.
+     * Starts a builder with six daemons, the shipped policy and no speed-up.
      *
-     * @param configuration the configuration to publish
+     * @param configuration the configuration
      * @return a builder
      */
     public static Builder builder(Configuration configuration) {
@@ -35,48 +26,44 @@
 
     /** Builds a {@link FleetPlan}. */
     public static final class Builder {
-        private static final int DEFAULT_DAEMONS = 3;
+        private static final long SETTLE_MILLIS = 30_000;
 
         private final Configuration configuration;
-        private int daemons = DEFAULT_DAEMONS;
-        private String placement = "least-predicted-time";
-        private String capacity = "granted";
+        private FleetPolicy policy = FleetPolicy.ENDIVEHOLD;
+        private int daemons = 6;
         private double speed = 1;
         private long seed = 1;
-        private Consumer<JsonObject> settings = json -> {};
 
         private Builder(Configuration configuration) {
             this.configuration = configuration;
         }
 
         /**
-         * Sets the number of daemons.
+         * Sets the policy.
          *
-         * @param value positive
+         * @param value the policy
          * @return this
          */
-        public Builder daemons(int value) {
-            daemons = value;
+        public Builder policy(FleetPolicy value) {
+            policy = value;
             return this;
         }
 
         /**
-         * Sets the policies.
+         * Sets the number of daemons.
          *
-         * @param placementPolicy name of the placement policy
-         * @param capacityPolicy name of the capacity policy
+         * @param value at least one
          * @return this
          */
-        public Builder policies(String placementPolicy, String capacityPolicy) {
-            placement = placementPolicy;
-            capacity = capacityPolicy;
+        public Builder daemons(int value) {
+            daemons = value;
             return this;
         }
 
         /**
-         * Sets the speed of the engines.
+         * Sets the speed-up.
          *
-         * @param value factor over nominal
+         * @param value one for real time
          * @return this
          */
         public Builder speed(double value) {
@@ -95,24 +82,13 @@
             return this;
         }
 
-        /**
-         * Sets changes to the daemons' settings.
-         *
-         * @param value changes one daemon's settings
-         * @return this
-         */
-        public Builder settings(Consumer<JsonObject> value) {
-            settings = value;
-            return this;
-        }
-
         /**
          * Builds the plan.
          *
          * @return the plan
          */
         public FleetPlan build() {
-            return new FleetPlan(configuration, daemons, placement, capacity, speed, seed, settings);
+            return new FleetPlan(configuration, policy, daemons, speed, seed, SETTLE_MILLIS);
         }
     }
 }
--- a/bench/src/main/java/org/endivehold/bench/fleet/StandinSet.java
+++ b/bench/src/main/java/org/endivehold/bench/fleet/StandinSet.java
@@ -1,13 +1,12 @@
 package org.endivehold.bench.fleet;
 
-import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.TreeMap;
 import org.endivehold.config.Configuration;
 import org.endivehold.config.Upstream;
+import org.endivehold.error.EndiveholdException;
 import org.endivehold.misc.UpstreamName;
 import org.endivehold.standin.engine.EngineParameters;
 import org.endivehold.standin.engine.EngineStandin;
@@ -18,72 +17,60 @@
 import org.endivehold.standin.plain.PlainStandin;
 import org.endivehold.standin.store.StoreStandin;
 
-/** The stand-ins of one fleet: store, host list, and one upstream per configured one; all write to one log. */
+/** A stand-in for the platform's services and for every upstream of a configuration. */
 public final class StandinSet {
-    private static final long PLAIN_COLD_MILLIS = 5_000;
+    private static final long COLD_MILLIS = 30_000;
+    private static final long RESTART_MILLIS = 10_000;
 
-    private final Vertx vertx;
+    private final Vertx vertx = Vertx.vertx();
     private final StandinLog log = new StandinLog();
     private final StoreStandin store = new StoreStandin(0, log);
     private final HostsStandin hosts = new HostsStandin(0, log);
-    private final Map<UpstreamName, EngineStandin> engines = new TreeMap<>();
-    private final Map<UpstreamName, PlainStandin> plains = new TreeMap<>();
+    private final List<EngineStandin> engines = new ArrayList<>();
+    private final List<PlainStandin> services = new ArrayList<>();
+    private final double speed;
+    private Configuration configuration;
 
-    StandinSet(Vertx vertx, Configuration configuration, double speed) {
-        this.vertx = vertx;
-        for (Upstream upstream : configuration.upstreams().values()) {
-            if (upstream.kind() == Upstream.Kind.ENGINE) {
-                engines.put(upstream.name(), new EngineStandin(0, parameters(upstream, speed), log));
-            } else {
-                plains.put(upstream.name(), new PlainStandin(0, parameters(upstream), log));
-            }
-        }
+    /**
+     * Prepares the stand-ins.
+     *
+     * @param configuration names the upstreams
+     * @param speed factor that speeds the engines up
+     */
+    StandinSet(Configuration configuration, double speed) {
+        this.speed = speed;
+        this.configuration = configuration;
     }
 
-    Future<Void> start() {
-        List<HttpStandin<?>> all = new ArrayList<>(engines.values());
-        all.addAll(plains.values());
-        all.add(store);
-        all.add(hosts);
-        return Future.all(all.stream().map(vertx::deployVerticle).toList()).mapEmpty();
+    /** Starts all, and puts their addresses into the configuration. */
+    void start() throws EndiveholdException {
+        deploy(store);
+        deploy(hosts);
+        TreeMap<UpstreamName, Upstream> upstreams = new TreeMap<>();
+        for (Upstream upstream : configuration.upstreams().values()) {
+            upstreams.put(upstream.name(), start(upstream));
+        }
+        configuration = new Configuration(
+                configuration.models(),
+                configuration.versions(),
+                configuration.adapters(),
+                configuration.routes(),
+                configuration.customers(),
+                configuration.zones(),
+                upstreams);
     }
 
-    /** Replaces the addresses and ports of all upstreams by those of their stand-ins. */
-    Configuration addressed(Configuration configuration) {
-        configuration.upstreams().replaceAll((name, upstream) -> Upstream.Builder.from(upstream)
-                .address(HttpStandin.ADDRESS)
-                .port(port(name))
-                .build());
+    /**
+     * Returns the configuration with the addresses of the stand-ins.
+     *
+     * @return the configuration
+     */
+    public Configuration configuration() {
         return configuration;
     }
 
-    private int port(UpstreamName name) {
-        return engines.containsKey(name)
-                ? engines.get(name).port()
-                : plains.get(name).port();
-    }
-
-    private static EngineParameters parameters(Upstream upstream, double speed) {
-        return EngineParameters.builder(
-                        upstream.name().value(),
-                        upstream.zone().value(),
-                        upstream.versions().iterator().next().value())
-                .versions(upstream.versions())
-                .slots(upstream.slots(), upstream.coldSlots())
-                .memory(upstream.memoryTokens())
-                .prefill((double) upstream.prefillTokensPerSecond())
-                .checksFencing(upstream.checksFencing())
-                .speed(speed)
-                .build();
-    }
-
-    private static PlainParameters parameters(Upstream upstream) {
-        return new PlainParameters(
-                upstream.name(), upstream.zone(), upstream.slots(), upstream.coldSlots(), PLAIN_COLD_MILLIS);
-    }
-
     /**
-     * Returns what all stand-ins did.
+     * Returns the log that all stand-ins share.
      *
      * @return the log
      */
@@ -112,18 +99,89 @@
     /**
      * Returns the engines.
      *
-     * @return stand-ins by name
+     * @return the stand-ins, in order of names
      */
-    public Map<UpstreamName, EngineStandin> engines() {
-        return engines;
+    public List<EngineStandin> engines() {
+        return List.copyOf(engines);
     }
 
     /**
      * Returns the plain services.
      *
-     * @return stand-ins by name
+     * @return the stand-ins, in order of names
      */
-    public Map<UpstreamName, PlainStandin> plains() {
-        return plains;
+    public List<PlainStandin> services() {
+        return List.copyOf(services);
+    }
+
+    /**
+     * Reads the memory in use on all engines.
+     *
+     * @return tokens
+     * @throws EndiveholdException of type {@code INTERNAL} if an engine does not answer
+     */
+    public long usedTokens() throws EndiveholdException {
+        long used = 0;
+        for (EngineStandin engine : engines) {
+            used += Waiting.on(engine.usedTokens());
+        }
+        return used;
+    }
+
+    void stop() throws EndiveholdException {
+        Waiting.on(vertx.close());
+    }
+
+    private Upstream start(Upstream upstream) throws EndiveholdException {
+        return switch (upstream.kind()) {
+            case ENGINE -> {
+                EngineStandin engine = new EngineStandin(0, parameters(upstream), log);
+                engines.add(engine);
+                deploy(engine);
+                yield at(upstream, engine.port());
+            }
+            case PLAIN -> {
+                PlainParameters parameters = new PlainParameters(
+                        upstream.name(), upstream.zone(), upstream.slots(), upstream.coldSlots(), (long)
+                                (COLD_MILLIS / speed));
+                PlainStandin service = new PlainStandin(0, parameters, log);
+                services.add(service);
+                deploy(service);
+                yield at(upstream, service.port());
+            }
+        };
+    }
+
+    private EngineParameters parameters(Upstream upstream) {
+        return EngineParameters.builder(upstream.name().value(), upstream.zone().value(), "unused")
+                .versions(upstream.versions())
+                .slots(upstream.slots(), upstream.coldSlots())
+                .memory(upstream.memoryTokens())
+                .prefill((double) upstream.prefillTokensPerSecond())
+                .cold(COLD_MILLIS, RESTART_MILLIS)
+                .checksFencing(upstream.checksFencing())
+                .speed(speed)
+                .build();
+    }
+
+    /** The nominal prefill rate has to be that of the stand-in, speed-up included. */
+    private Upstream at(Upstream upstream, int port) {
+        return new Upstream(
+                upstream.name(),
+                upstream.kind(),
+                upstream.zone(),
+                HttpStandin.ADDRESS,
+                port,
+                upstream.state(),
+                upstream.versions(),
+                upstream.slots(),
+                upstream.coldSlots(),
+                upstream.memoryTokens(),
+                (long) (upstream.prefillTokensPerSecond() * speed),
+                upstream.checksFencing());
+    }
+
+    private void deploy(HttpStandin<?> standin) throws EndiveholdException {
+        Waiting.on(vertx.deployVerticle(standin));
     }
 }
--- a/bench/src/main/java/org/endivehold/bench/fleet/package-info.java
+++ b/bench/src/main/java/org/endivehold/bench/fleet/package-info.java
@@ -1,2 +1,2 @@
-/** A whole installation on loopback in one JVM: stand-ins and real daemons. */
+/** Stand-ins and real daemons in one process, on loopback. */
 package org.endivehold.bench.fleet;
