Run run-local on the shared fleet

Cause: two fleets were written at once; the one on main stays. Change: LocalRun uses it. Conclusion: one fleet class serves run-local and the experiments.

--- a/bench/src/main/java/org/endivehold/bench/LocalRun.java
+++ b/bench/src/main/java/org/endivehold/bench/LocalRun.java
@@ -1,6 +1,7 @@
 package org.endivehold.bench;
 
 import io.vertx.core.Future;
+import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientResponse;
@@ -15,6 +16,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.endivehold.bench.fleet.Fleet;
 import org.endivehold.bench.fleet.FleetPlan;
+import org.endivehold.bench.fleet.Waiting;
 import org.endivehold.config.Configuration;
 import org.endivehold.config.ConfigurationReader;
 import org.endivehold.config.Route;
@@ -35,6 +37,7 @@
     private final Path examples;
     private final Path file;
     private final boolean keep;
+    private final Vertx vertx = Vertx.vertx();
     private final AtomicInteger pieces = new AtomicInteger();
     private final AtomicLong firstAt = new AtomicLong();
 
@@ -49,15 +52,14 @@
         Configuration configuration =
                 ConfigurationReader.readDirectory(examples.resolve("quito")).orThrow();
         shrink(configuration);
+        long begin = System.nanoTime();
         try (Fleet fleet =
                 new Fleet(FleetPlan.builder(configuration).daemons(DAEMONS).build())) {
-            long begin = System.nanoTime();
-            fleet.start();
             System.out.printf(
                     "%d daemons, %d engines, %d plain service up in %.0f ms, configuration in force%n%n",
                     DAEMONS,
                     fleet.standins().engines().size(),
-                    fleet.standins().plains().size(),
+                    fleet.standins().services().size(),
                     millisSince(begin));
             ask(fleet, prompt);
             if (keep) {
@@ -91,7 +93,7 @@
     }
 
     private void ask(Fleet fleet, String prompt) throws EndiveholdException {
-        HttpClient client = fleet.vertx().createHttpClient();
+        HttpClient client = vertx.createHttpClient();
         JsonObject body = new JsonObject()
                 .put("model", ROUTE)
                 .put("prompt", prompt)
@@ -99,7 +101,7 @@
                 .put("stream", true);
         long begin = System.nanoTime();
         int port = fleet.daemons().get(0).callerPort();
-        Fleet.await(client.request(HttpMethod.POST, port, "127.0.0.1", "/v1/completions")
+        Waiting.on(client.request(HttpMethod.POST, port, "127.0.0.1", "/v1/completions")
                 .compose(request ->
                         request.putHeader("Authorization", "Bearer " + KEY).send(body.toBuffer()))
                 .compose(this::print));
