Spread configurations between daemons and add the operators' port

A daemon that lost the key-value service must still hear of a zone that goes out. Daemons now announce their revision with heartbeats and ask a random neighbour each second; one that is behind gets the changed objects, checks the digest and never goes lower. A daemon that hears neither the service nor a known neighbour for 4 s reports itself not ready.

The operators' port checks, publishes, and shows configuration, history, fleet and traces; it needs a bearer token and works before the first publish. Refusals tell what to do next.

--- a/core/src/main/java/org/endivehold/config/ActivationState.java
+++ b/core/src/main/java/org/endivehold/config/ActivationState.java
@@ -3,6 +3,7 @@
 import java.util.Comparator;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import org.endivehold.misc.HostId;
 import org.endivehold.misc.Revision;
@@ -76,7 +77,7 @@
     }
 
     /**
-     * Takes note of what a neighbour has in force.
+     * Takes note of a message from a neighbour itself.
      *
      * @param neighbour the neighbour
      * @param revision its revision; zero if it has none
@@ -85,6 +86,17 @@
      */
     public void neighbourSeen(HostId neighbour, Revision revision, String digest, long now) {
         neighbourHeardAt = now;
+        announced(neighbour, revision, digest);
+    }
+
+    /**
+     * Takes note of what others tell about a neighbour; no sign that any daemon can be reached.
+     *
+     * @param neighbour the neighbour
+     * @param revision its revision; zero if it has none
+     * @param digest the digest
+     */
+    public void announced(HostId neighbour, Revision revision, String digest) {
         if (!neighbours.containsKey(neighbour) && neighbours.size() >= MAX_NEIGHBOURS) {
             return;
         }
@@ -104,6 +116,19 @@
         neighbours.remove(neighbour);
     }
 
+    /**
+     * Forgets neighbours that are not known any more, but only while some neighbour is heard: a daemon that is cut off
+     * believes all others dead, and has to go on counting as cut off.
+     *
+     * @param known the neighbours that are known
+     * @param now monotonic time in milliseconds
+     */
+    public void retainNeighbours(Set<HostId> known, long now) {
+        if (now - neighbourHeardAt <= times.isolationMillis()) {
+            neighbours.keySet().retainAll(known);
+        }
+    }
+
     /**
      * Decides whether to start a fetch.
      *
--- a/daemon/src/main/java/org/endivehold/daemon/config/ConfigurationService.java
+++ b/daemon/src/main/java/org/endivehold/daemon/config/ConfigurationService.java
@@ -138,7 +138,19 @@
     }
 
     /**
-     * Takes note of what a neighbour has in force.
+     * Takes note of what others tell about a neighbour.
+     *
+     * @param neighbour the neighbour
+     * @param revision its revision
+     * @param digest its digest
+     */
+    public void announced(HostId neighbour, Revision revision, String digest) {
+        state.announced(neighbour, revision, digest);
+        proceed();
+    }
+
+    /**
+     * Takes note of a message from a neighbour.
      *
      * @param neighbour the neighbour
      * @param revision its revision
@@ -158,6 +170,24 @@
         state.neighbourGone(neighbour);
     }
 
+    /**
+     * Forgets neighbours that are not known any more.
+     *
+     * @param known the neighbours that are known
+     */
+    public void retainNeighbours(Set<HostId> known) {
+        state.retainNeighbours(known, context.ticker().millis());
+    }
+
+    /**
+     * Returns how long the store has been silent.
+     *
+     * @return milliseconds since its last answer
+     */
+    public long storeSilentMillis() {
+        return state.storeSilentMillis(context.ticker().millis());
+    }
+
     @Override
     public Optional<String> notReady() {
         return isolated()
--- /dev/null
+++ b/daemon/src/main/java/org/endivehold/daemon/operator/OperatorPort.java
@@ -0,0 +1,244 @@
+package org.endivehold.daemon.operator;
+
+import io.vertx.core.Future;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import io.vertx.ext.web.Router;
+import io.vertx.ext.web.RoutingContext;
+import io.vertx.ext.web.handler.BodyHandler;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.endivehold.config.AvailabilityZone;
+import org.endivehold.config.ConfigurationReader;
+import org.endivehold.config.ConfigurationSnapshot;
+import org.endivehold.config.Upstream;
+import org.endivehold.daemon.DaemonContext;
+import org.endivehold.daemon.config.ActiveConfiguration;
+import org.endivehold.daemon.config.ConfigurationService;
+import org.endivehold.daemon.http.HttpStatus;
+import org.endivehold.daemon.http.Problem;
+import org.endivehold.daemon.kernel.Kernel;
+import org.endivehold.daemon.kernel.Service;
+import org.endivehold.daemon.peer.PeerTransport;
+import org.endivehold.daemon.platform.EtcdStore;
+import org.endivehold.daemon.platform.HttpHostList;
+import org.endivehold.error.EndiveholdException;
+import org.endivehold.error.ErrorType;
+import org.endivehold.membership.LiveHosts;
+import org.endivehold.misc.RequestId;
+import org.endivehold.platform.HostList;
+import org.endivehold.platform.PlatformStore;
+import org.endivehold.wire.StatusAnswer;
+import org.endivehold.wire.StatusQuery;
+import org.endivehold.wire.TraceAnswer;
+import org.endivehold.wire.TraceQuery;
+
+/** The HTTP port for operators; works before any configuration is in force, so that the first can be published. */
+public final class OperatorPort implements Service {
+    /** Name of the service. */
+    public static final String NAME = "operators";
+
+    private static final int MAX_BODY_BYTES = ConfigurationReader.MAX_DOCUMENT_BYTES;
+    private static final int IDLE_SECONDS = 60;
+    private static final RequestId NO_REQUEST = new RequestId("operator");
+
+    private final DaemonContext context;
+    private StatusCollector statuses;
+    private FleetCollector fleet;
+    private ConfigurationHandler configurations;
+    private ConfigurationService active;
+    private OperatorToken token;
+    private HttpServer server;
+
+    /**
+     * Creates the port.
+     *
+     * @param context what the daemon's services share
+     */
+    public OperatorPort(DaemonContext context) {
+        this.context = context;
+    }
+
+    @Override
+    public String name() {
+        return NAME;
+    }
+
+    @Override
+    public Set<String> needs() {
+        return Set.of(ActiveConfiguration.NAME, EtcdStore.NAME, HttpHostList.NAME, PeerTransport.NAME, LiveHosts.NAME);
+    }
+
+    @Override
+    public Future<Void> start(Kernel kernel) {
+        try {
+            assemble(kernel);
+        } catch (EndiveholdException e) {
+            return Future.failedFuture(e);
+        }
+        HttpServerOptions options =
+                new HttpServerOptions().setIdleTimeout(IDLE_SECONDS).setIdleTimeoutUnit(TimeUnit.SECONDS);
+        return context.vertx()
+                .fileSystem()
+                .readFile(context.settings().operators().tokenFile())
+                .compose(content -> {
+                    token = new OperatorToken(content.toString());
+                    server = context.vertx().createHttpServer(options).requestHandler(router());
+                    return server.listen(
+                            context.settings().operators().port(),
+                            context.settings().operators().address());
+                })
+                .mapEmpty();
+    }
+
+    private void assemble(Kernel kernel) throws EndiveholdException {
+        PeerTransport peers = kernel.find(PeerTransport.NAME, PeerTransport.class);
+        LiveHosts live = kernel.find(LiveHosts.NAME, LiveHosts.class);
+        active = kernel.find(ActiveConfiguration.NAME, ConfigurationService.class);
+        statuses = new StatusCollector(context, kernel);
+        fleet = new FleetCollector(peers, live, kernel.find(HttpHostList.NAME, HostList.class));
+        configurations = new ConfigurationHandler(kernel.find(EtcdStore.NAME, PlatformStore.class), active);
+        peers.handle(
+                StatusQuery.class,
+                (host, query) -> Future.succeededFuture(
+                        new StatusAnswer(statuses.collect().encode())));
+        peers.handle(TraceQuery.class, (host, query) -> Future.succeededFuture(trace(query.request())));
+    }
+
+    @Override
+    public Future<Void> stop() {
+        return server.close();
+    }
+
+    /**
+     * Returns the port in use.
+     *
+     * @return TCP port
+     */
+    public int port() {
+        return server.actualPort();
+    }
+
+    private Router router() {
+        Router router = Router.router(context.vertx());
+        router.route().handler(this::authenticate);
+        router.post().handler(BodyHandler.create(false).setBodyLimit(MAX_BODY_BYTES));
+        router.post("/v1/check")
+                .handler(answer(call ->
+                        Future.succeededFuture(configurations.check(call.body().buffer()))));
+        router.post("/v1/publish")
+                .handler(answer(call -> configurations.publish(call.body().buffer())));
+        router.get("/v1/config")
+                .handler(answer(call -> configurations.configuration(
+                        Optional.ofNullable(call.request().getParam("revision")))));
+        router.get("/v1/history").handler(answer(call -> configurations.history()));
+        router.get("/v1/status").handler(answer(call -> Future.succeededFuture(statuses.collect())));
+        router.get("/v1/fleet").handler(answer(call -> fleet()));
+        router.get("/v1/trace/:request").handler(answer(this::trace));
+        router.route().failureHandler(this::failed);
+        router.errorHandler(HttpStatus.NOT_FOUND, call -> fail(call, ErrorType.OPERATOR_REQUEST, "no such path"));
+        return router;
+    }
+
+    private void authenticate(RoutingContext call) {
+        if (token.matches(call.request().getHeader("Authorization"))) {
+            call.next();
+        } else {
+            fail(call, ErrorType.OPERATOR_UNAUTHENTICATED);
+        }
+    }
+
+    private io.vertx.core.Handler<RoutingContext> answer(Function<RoutingContext, Future<JsonObject>> handler) {
+        return call -> handler.apply(call).onComplete(done -> {
+            if (done.succeeded()) {
+                call.response()
+                        .putHeader("Content-Type", "application/json")
+                        .end(done.result().toBuffer());
+            } else {
+                send(call, EndiveholdException.unwrap(done.cause()));
+            }
+        });
+    }
+
+    private Future<JsonObject> fleet() {
+        JsonObject own = new JsonObject().put("status", statuses.collect());
+        return fleet.statuses(own).map(daemons -> {
+            JsonObject document = new JsonObject();
+            active.current().ifPresent(snapshot -> describe(document, snapshot));
+            return document.put("daemons", daemons);
+        });
+    }
+
+    private static void describe(JsonObject document, ConfigurationSnapshot snapshot) {
+        JsonArray zones = new JsonArray();
+        for (AvailabilityZone zone : snapshot.configuration().zones().values()) {
+            zones.add(new JsonObject().put("name", zone.name().value()).put("state", word(zone.state())));
+        }
+        JsonArray upstreams = new JsonArray();
+        for (Upstream upstream : snapshot.configuration().upstreams().values()) {
+            upstreams.add(new JsonObject()
+                    .put("name", upstream.name().value())
+                    .put("type", word(upstream.kind()))
+                    .put("zone", upstream.zone().value())
+                    .put("state", word(upstream.state()))
+                    .put("slots", upstream.slots()));
+        }
+        document.put("revision", snapshot.revision().value())
+                .put("zones", zones)
+                .put("upstreams", upstreams);
+    }
+
+    private static String word(Enum<?> value) {
+        return value.name().toLowerCase(java.util.Locale.ROOT);
+    }
+
+    private Future<JsonObject> trace(RoutingContext call) {
+        RequestId request;
+        try {
+            request = new RequestId(call.pathParam("request"));
+        } catch (IllegalArgumentException e) {
+            return Future.failedFuture(new EndiveholdException(ErrorType.OPERATOR_REQUEST, "not a request id"));
+        }
+        JsonObject own = new JsonObject().put("events", FleetCollector.events(trace(request)));
+        return fleet.traces(own, request)
+                .map(daemons -> new JsonObject().put("request", request.value()).put("daemons", daemons));
+    }
+
+    private TraceAnswer trace(RequestId request) {
+        List<TraceAnswer.Event> events = context.trace().events(request).stream()
+                .map(event -> new TraceAnswer.Event(event.atMillis(), event.step(), event.detail()))
+                .toList();
+        return new TraceAnswer(events);
+    }
+
+    private void failed(RoutingContext call) {
+        if (call.failure() != null) {
+            send(call, EndiveholdException.unwrap(call.failure()));
+        } else if (call.statusCode() == HttpStatus.TOO_LARGE) {
+            fail(call, ErrorType.BODY_TOO_LARGE, MAX_BODY_BYTES);
+        } else {
+            fail(call, ErrorType.OPERATOR_REQUEST, "status " + call.statusCode());
+        }
+    }
+
+    private void fail(RoutingContext call, ErrorType type, Object... args) {
+        send(call, new EndiveholdException(type, args));
+    }
+
+    private static void send(RoutingContext call, EndiveholdException failure) {
+        if (call.response().ended() || call.response().closed()) {
+            return;
+        }
+        JsonObject problem = Problem.document(failure, NO_REQUEST).put("next", OperatorAdvice.of(failure.type()));
+        problem.remove("request");
+        call.response()
+                .setStatusCode(HttpStatus.of(failure.type()))
+                .putHeader("Content-Type", Problem.MEDIA_TYPE)
+                .end(problem.toBuffer());
+    }
+}
--- a/wire/src/main/java/org/endivehold/wire/MessageType.java
+++ b/wire/src/main/java/org/endivehold/wire/MessageType.java
@@ -7,7 +7,19 @@
     /** {@link Failure}. */
     FAILURE(2, Failure.class),
     /** {@link HeartbeatMessage}. */
-    HEARTBEAT(10, HeartbeatMessage.class);
+    HEARTBEAT(10, HeartbeatMessage.class),
+    /** {@link ConfigFetch}. */
+    CONFIG_FETCH(40, ConfigFetch.class),
+    /** {@link ConfigDelta}. */
+    CONFIG_DELTA(41, ConfigDelta.class),
+    /** {@link StatusQuery}. */
+    STATUS_QUERY(42, StatusQuery.class),
+    /** {@link StatusAnswer}. */
+    STATUS_ANSWER(43, StatusAnswer.class),
+    /** {@link TraceQuery}. */
+    TRACE_QUERY(44, TraceQuery.class),
+    /** {@link TraceAnswer}. */
+    TRACE_ANSWER(45, TraceAnswer.class);
 
     private final int code;
     private final Class<? extends Message> kind;
--- /dev/null
+++ b/wire/src/main/java/org/endivehold/wire/StatusQuery.java
@@ -0,0 +1,4 @@
+package org.endivehold.wire;
+
+/** Asks a daemon for its status on behalf of an operator; answered by {@link StatusAnswer}. */
+public record StatusQuery() implements Message {}
