Add the operators' command-line tool

check, publish, diff, history, status, top, zone out|in, upstream drain|undrain, trace and completion, with documented exit codes. Tests run it against three daemons over loopback: two operators racing, lost answers to writes, a store outage, a daemon cut from the store, and one cut from everything.

--- /dev/null
+++ b/cli/src/main/java/org/endivehold/cli/FleetView.java
@@ -0,0 +1,181 @@
+package org.endivehold.cli;
+
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Draws the fleet as text: zones, upstreams, daemons, and what each daemon lags behind. */
+final class FleetView {
+    private static final String ABSENT = "-";
+
+    private final JsonObject fleet;
+    private final List<String> lines = new ArrayList<>();
+
+    private FleetView(JsonObject fleet) {
+        this.fleet = fleet;
+    }
+
+    static List<String> draw(JsonObject fleet) {
+        FleetView view = new FleetView(fleet);
+        view.header();
+        view.zones();
+        view.upstreams();
+        view.daemons();
+        return view.lines;
+    }
+
+    /** Returns the revision that a daemon of a fleet document has in force; 0 if none. */
+    static long revision(JsonObject daemon) {
+        return part(daemon, "config").getLong("revision", 0L);
+    }
+
+    private void header() {
+        long newest = 0;
+        for (JsonObject daemon : objects("daemons")) {
+            newest = Math.max(newest, revision(daemon));
+        }
+        List<String> lagging = Publishing.lagging(fleet, newest);
+        lines.add("revision " + newest
+                + (lagging.isEmpty() ? ", in force at every live daemon" : ", lagging: " + String.join(", ", lagging)));
+    }
+
+    private void zones() {
+        Map<String, int[]> counts = new TreeMap<>();
+        for (JsonObject upstream : objects("upstreams")) {
+            int[] count = counts.computeIfAbsent(upstream.getString("zone"), zone -> new int[2]);
+            count["serving".equals(upstream.getString("state")) ? 0 : 1]++;
+        }
+        List<List<String>> rows = new ArrayList<>();
+        for (JsonObject zone : objects("zones")) {
+            int[] count = counts.getOrDefault(zone.getString("name"), new int[2]);
+            rows.add(List.of(
+                    zone.getString("name"),
+                    zone.getString("state").toUpperCase(Locale.ROOT),
+                    Integer.toString(count[0]),
+                    Integer.toString(count[1])));
+        }
+        table(List.of("ZONE", "STATE", "SERVING", "LEAVING"), rows);
+    }
+
+    private void upstreams() {
+        Map<String, JsonObject> reports = reports();
+        List<List<String>> rows = new ArrayList<>();
+        for (JsonObject upstream : objects("upstreams")) {
+            JsonObject report = reports.getOrDefault(upstream.getString("name"), new JsonObject());
+            rows.add(List.of(
+                    upstream.getString("name"),
+                    upstream.getString("type"),
+                    upstream.getString("zone"),
+                    upstream.getString("state"),
+                    upstream.getValue("slots").toString(),
+                    text(report, "slots"),
+                    text(report, "inUse"),
+                    text(report, "state")));
+        }
+        table(List.of("UPSTREAM", "TYPE", "ZONE", "STATE", "SLOTS", "GRANTED", "IN USE", "SEEN AS"), rows);
+    }
+
+    /** Adds up what the daemons hold of each upstream. */
+    private Map<String, JsonObject> reports() {
+        Map<String, JsonObject> reports = new TreeMap<>();
+        for (JsonObject daemon : objects("daemons")) {
+            JsonArray shares = array(part(daemon, "capacity"), "shares");
+            for (int i = 0; i < shares.size(); i++) {
+                if (shares.getValue(i) instanceof JsonObject share
+                        && share.getValue("upstream") instanceof String name) {
+                    JsonObject sum = reports.computeIfAbsent(name, key -> new JsonObject());
+                    add(sum, share, "slots");
+                    add(sum, share, "inUse");
+                    if (share.getValue("state") != null) {
+                        sum.put("state", share.getValue("state"));
+                    }
+                }
+            }
+        }
+        return reports;
+    }
+
+    private static void add(JsonObject sum, JsonObject share, String field) {
+        if (share.getValue(field) instanceof Number number) {
+            sum.put(field, sum.getLong(field, 0L) + number.longValue());
+        }
+    }
+
+    private void daemons() {
+        List<List<String>> rows = new ArrayList<>();
+        for (JsonObject daemon : objects("daemons")) {
+            JsonObject callers = part(daemon, "http");
+            JsonObject status = daemon.getJsonObject("status", new JsonObject());
+            rows.add(List.of(
+                    daemon.getString("host"),
+                    status.getString("zone", ABSENT),
+                    daemon.getString("membership", ABSENT),
+                    daemon.getBoolean("answered", false) ? Long.toString(revision(daemon)) : ABSENT,
+                    ready(daemon, status),
+                    text(callers, "connections"),
+                    text(callers, "inProgress"),
+                    text(part(daemon, "generation"), "queued"),
+                    text(part(daemon, "config"), "source")));
+        }
+        table(List.of("DAEMON", "ZONE", "MEMBER", "REVISION", "READY", "CALLERS", "RUNNING", "QUEUED", "SOURCE"), rows);
+    }
+
+    private static String ready(JsonObject daemon, JsonObject status) {
+        if (!daemon.getBoolean("answered", false)) {
+            return "no answer: " + daemon.getString("error", ABSENT);
+        }
+        JsonArray reasons = array(status, "notReady");
+        return reasons.isEmpty() ? "yes" : "no: " + reasons.getValue(0);
+    }
+
+    private void table(List<String> head, List<List<String>> rows) {
+        if (rows.isEmpty()) {
+            return;
+        }
+        int[] widths = new int[head.size()];
+        List<List<String>> all = new ArrayList<>();
+        all.add(head);
+        all.addAll(rows);
+        for (List<String> row : all) {
+            for (int i = 0; i < widths.length; i++) {
+                widths[i] = Math.max(widths[i], row.get(i).length());
+            }
+        }
+        lines.add("");
+        for (List<String> row : all) {
+            StringBuilder line = new StringBuilder();
+            for (int i = 0; i < widths.length; i++) {
+                line.append(row.get(i)).append(" ".repeat(widths[i] - row.get(i).length() + 2));
+            }
+            lines.add(line.toString().stripTrailing());
+        }
+    }
+
+    private List<JsonObject> objects(String field) {
+        List<JsonObject> objects = new ArrayList<>();
+        JsonArray array = array(fleet, field);
+        for (int i = 0; i < array.size(); i++) {
+            objects.add(array.getJsonObject(i));
+        }
+        return objects;
+    }
+
+    private static JsonArray array(JsonObject object, String field) {
+        return object.getValue(field) instanceof JsonArray array ? array : new JsonArray();
+    }
+
+    private static JsonObject part(JsonObject daemon, String name) {
+        return daemon.getJsonObject("status", new JsonObject())
+                .getJsonObject("parts", new JsonObject())
+                .getJsonObject(name, new JsonObject());
+    }
+
+    private static String text(JsonObject object, String field) {
+        Object value = object.getValue(field);
+        return value == null ? ABSENT : value.toString();
+    }
+}
--- /dev/null
+++ b/cli/src/test/java/org/endivehold/cli/Fleet.java
@@ -0,0 +1,144 @@
+package org.endivehold.cli;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.json.JsonObject;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import org.endivehold.daemon.Daemon;
+import org.endivehold.daemon.config.ActiveConfiguration;
+import org.endivehold.daemon.config.ConfigurationService;
+import org.endivehold.daemon.config.ConfigurationStatus;
+import org.endivehold.daemon.operator.OperatorPort;
+import org.endivehold.daemon.peer.PeerTransport;
+import org.endivehold.daemon.peer.TcpPeerTransport;
+import org.endivehold.daemon.settings.SettingsReader;
+import org.endivehold.misc.HostId;
+import org.endivehold.misc.ZoneName;
+import org.endivehold.platform.HostEntry;
+import org.endivehold.standin.hosts.HostsStandin;
+import org.endivehold.standin.log.StandinLog;
+import org.endivehold.standin.store.StoreStandin;
+
+/** Three daemons over loopback with stand-ins for the platform; each reaches the store through a relay of its own. */
+final class Fleet implements AutoCloseable {
+    static final int DAEMONS = 3;
+    private static final String TOKEN = "operators-secret";
+    private static final long PATIENCE_SECONDS = 60;
+
+    final Vertx vertx = Vertx.vertx();
+    final StoreStandin store = new StoreStandin(0, new StandinLog());
+    final List<Daemon> daemons = new ArrayList<>();
+    final List<Relay> relays = new ArrayList<>();
+    private final HostsStandin hosts = new HostsStandin(0, new StandinLog());
+    private final List<HostEntry> listed = new ArrayList<>();
+    private final Path token;
+
+    Fleet(Path folder) throws Exception {
+        token = Files.writeString(folder.resolve("token"), TOKEN + "\n");
+        await(vertx.deployVerticle(store));
+        await(vertx.deployVerticle(hosts));
+        for (int i = 0; i < DAEMONS; i++) {
+            Relay relay = new Relay(vertx, store.port());
+            relays.add(relay);
+            Daemon daemon = new Daemon(
+                    SettingsReader.parse(settings("h" + i, relay.start()).encode()));
+            daemons.add(daemon);
+            await(daemon.start());
+            int port = daemon.kernel()
+                    .find(PeerTransport.NAME, TcpPeerTransport.class)
+                    .port();
+            list("h" + i, port);
+        }
+    }
+
+    /** Adds a host to the platform's list. */
+    void list(String host, int port) {
+        listed.add(new HostEntry(new HostId(host), new ZoneName("z"), "127.0.0.1", port, false));
+        hosts.hosts(List.copyOf(listed));
+    }
+
+    private JsonObject settings(String host, int storePort) {
+        JsonObject anyPort = new JsonObject().put("port", 0);
+        return new JsonObject()
+                .put("host", host)
+                .put("zone", "z")
+                .put("seed", 1)
+                .put("callers", anyPort)
+                .put("operators", anyPort.copy().put("tokenFile", token.toString()))
+                .put("peers", anyPort)
+                .put("store", new JsonObject().put("endpoints", List.of("http://127.0.0.1:" + storePort)))
+                .put("hosts", new JsonObject().put("url", hosts.url()).put("pollMillis", 200))
+                .put("shutdown", new JsonObject().put("lagMillis", 0));
+    }
+
+    ConfigurationService configuration(int daemon) throws Exception {
+        return daemons.get(daemon).kernel().find(ActiveConfiguration.NAME, ConfigurationService.class);
+    }
+
+    ConfigurationStatus status(int daemon) throws Exception {
+        ConfigurationService service = configuration(daemon);
+        io.vertx.core.Promise<ConfigurationStatus> status = io.vertx.core.Promise.promise();
+        daemons.get(daemon).context().vertx().runOnContext(ignored -> status.complete(service.status()));
+        return await(status.future());
+    }
+
+    String url(int daemon) throws Exception {
+        return "http://127.0.0.1:"
+                + daemons.get(daemon)
+                        .kernel()
+                        .find(OperatorPort.NAME, OperatorPort.class)
+                        .port();
+    }
+
+    /** What the tool printed and how it ended. */
+    record Result(ExitCode code, String out, String err) {}
+
+    Result run(String... args) throws Exception {
+        return run(Map.of("ENDIVEHOLD_DAEMON", url(0) + "," + url(1)), args);
+    }
+
+    Result run(Map<String, String> changed, String... args) throws Exception {
+        Map<String, String> variables = new java.util.HashMap<>(
+                Map.of("ENDIVEHOLD_TOKEN_FILE", token.toString(), "ENDIVEHOLD_DAEMON", url(0), "USER", "ana"));
+        variables.putAll(changed);
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        ByteArrayOutputStream err = new ByteArrayOutputStream();
+        ExitCode code = OperatorTool.run(
+                args,
+                new PrintStream(out, true, StandardCharsets.UTF_8),
+                new PrintStream(err, true, StandardCharsets.UTF_8),
+                variables);
+        return new Result(code, out.toString(StandardCharsets.UTF_8), err.toString(StandardCharsets.UTF_8));
+    }
+
+    static void until(String what, Callable<Boolean> condition) throws Exception {
+        long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_SECONDS);
+        while (!condition.call()) {
+            assertTrue(System.nanoTime() < deadline, what);
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+    }
+
+    static <T> T await(Future<T> future) throws Exception {
+        return future.toCompletionStage().toCompletableFuture().get(PATIENCE_SECONDS, TimeUnit.SECONDS);
+    }
+
+    @Override
+    public void close() throws Exception {
+        for (Daemon daemon : daemons) {
+            await(daemon.kill());
+        }
+        await(vertx.close());
+    }
+}
