--- a/daemon/src/main/java/org/endivehold/daemon/Daemon.java
+++ b/daemon/src/main/java/org/endivehold/daemon/Daemon.java
@@ -3,8 +3,10 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
+import java.util.function.Supplier;
 import org.apache.commons.rng.simple.RandomSource;
 import org.endivehold.daemon.config.ConfigurationService;
 import org.endivehold.daemon.grant.CapacityService;
@@ -22,10 +24,14 @@
 import org.endivehold.daemon.upstream.UpstreamService;
 import org.endivehold.error.ErrorManager;
 import org.endivehold.misc.Incarnation;
+import org.endivehold.misc.LogEvent;
 import org.endivehold.misc.Ticker;
+import org.jboss.logging.Logger;
 
 /** One daemon: its Vert.x instance, its context and its services. Several may run in one JVM. */
 public final class Daemon {
+    private static final Logger log = Logger.getLogger(Daemon.class);
+
     private final DaemonContext context;
     private final Kernel kernel = new Kernel();
 
@@ -89,7 +95,11 @@
      * @return when all run
      */
     public Future<Void> start() {
-        return onLoop(kernel::start);
+        return onLoop(kernel::start).onSuccess(done -> LogEvent.of("daemon-started")
+                .with("host", context.settings().host())
+                .with("zone", context.settings().zone())
+                .with("incarnation", context.incarnation())
+                .info(log));
     }
 
     /**
@@ -98,7 +108,11 @@
      * @return when the daemon has stopped
      */
     public Future<Void> shutdown() {
-        return onLoop(kernel::shutdown).eventually(context.vertx()::close);
+        return onLoop(kernel::shutdown)
+                .onSuccess(done -> LogEvent.of("daemon-stopped")
+                        .with("host", context.settings().host())
+                        .info(log))
+                .eventually(context.vertx()::close);
     }
 
     /**
@@ -110,8 +124,8 @@
         return context.vertx().close();
     }
 
-    private Future<Void> onLoop(java.util.function.Supplier<Future<Void>> step) {
-        io.vertx.core.Promise<Void> promise = io.vertx.core.Promise.promise();
+    private Future<Void> onLoop(Supplier<Future<Void>> step) {
+        Promise<Void> promise = Promise.promise();
         context.vertx().runOnContext(ignored -> step.get().onComplete(promise));
         return promise.future();
     }
--- a/daemon/src/main/java/org/endivehold/daemon/http/CallerFront.java
+++ b/daemon/src/main/java/org/endivehold/daemon/http/CallerFront.java
@@ -19,7 +19,9 @@
 import org.endivehold.daemon.request.PlainRunner;
 import org.endivehold.error.EndiveholdException;
 import org.endivehold.error.ErrorType;
+import org.endivehold.misc.LogEvent;
 import org.endivehold.misc.RequestId;
+import org.jboss.logging.Logger;
 
 /**
  * The HTTP server for callers.
@@ -31,6 +33,7 @@
     /** Name of the service. */
     public static final String NAME = "front";
 
+    private static final Logger log = Logger.getLogger(CallerFront.class);
     private static final String REQUEST_ID_HEADER = "Endivehold-Request-Id";
     private static final String STREAMS_PATH = "/v1/streams/";
     private static final int IDLE_SECONDS = 600;
@@ -99,6 +102,8 @@
         return server.listen(
                         context.settings().callers().port(),
                         context.settings().callers().address())
+                .onSuccess(listening ->
+                        LogEvent.of("callers-port").with("port", port()).info(log))
                 .mapEmpty();
     }
 
--- a/daemon/src/main/java/org/endivehold/daemon/settings/SettingsReader.java
+++ b/daemon/src/main/java/org/endivehold/daemon/settings/SettingsReader.java
@@ -124,7 +124,14 @@
                 .map(unit -> new SettingsFault(pointer(unit), unit.getError()))
                 .distinct()
                 .toList();
-        return all.stream().filter(fault -> !isEcho(fault, all)).toList();
+        return all.stream()
+                .filter(fault -> !isEcho(fault, all))
+                .map(SettingsReader::reworded)
+                .toList();
+    }
+
+    private static SettingsFault reworded(SettingsFault fault) {
+        return fault.reason().endsWith(UNEXPECTED) ? new SettingsFault(fault.path(), "is not a setting") : fault;
     }
 
     /** The validator also reports a faulty property's parents as unexpected properties; those are left out. */
