Resume, continue and reattach generations; long prompts in legs

Broken streams are read again at their offset, then go on elsewhere after the delivered text, within a budget; late pieces are dropped. Long prompts are reserved at the grantor, and those beyond one engine run in legs whose caches are freed however the request ends.

--- a/daemon/src/main/java/org/endivehold/daemon/Daemon.java
+++ b/daemon/src/main/java/org/endivehold/daemon/Daemon.java
@@ -10,6 +10,7 @@
 import org.endivehold.daemon.kernel.Kernel;
 import org.endivehold.daemon.ledger.LedgerService;
 import org.endivehold.daemon.peer.TcpPeerTransport;
+import org.endivehold.daemon.request.GenerationService;
 import org.endivehold.daemon.request.PlainCallService;
 import org.endivehold.daemon.request.TraceLog;
 import org.endivehold.daemon.settings.Settings;
@@ -47,6 +48,7 @@
         // Each service is added here; the kernel orders them by their needs.
         kernel.add(new TcpPeerTransport(context));
         kernel.add(new CapacityService(context));
+        kernel.add(new GenerationService(context));
         kernel.add(new LedgerService(context));
         kernel.add(new PlainCallService(context));
     }
--- /dev/null
+++ b/daemon/src/main/java/org/endivehold/daemon/request/CacheEventReader.java
@@ -0,0 +1,56 @@
+package org.endivehold.daemon.request;
+
+import java.util.List;
+import org.endivehold.error.EndiveholdException;
+import org.endivehold.misc.UpstreamName;
+import org.endivehold.upstream.CacheEvent;
+
+/**
+ * Reads the cache events of one engine per period, in turn, so that the cost to a daemon does not grow with the fleet.
+ */
+final class CacheEventReader {
+    /** Time between two reads, in milliseconds. */
+    static final long PERIOD_MILLIS = 500;
+
+    private final GenerationResources resources;
+    private final EngineSelector selector;
+    private int next;
+    private boolean reading;
+
+    /**
+     * Creates a reader.
+     *
+     * @param resources adapters of the engines
+     * @param selector gets the events
+     */
+    CacheEventReader(GenerationResources resources, EngineSelector selector) {
+        this.resources = resources;
+        this.selector = selector;
+    }
+
+    /** Reads the events of the next engine, unless the last read is still under way. */
+    void readNext() {
+        List<UpstreamName> engines = selector.engines();
+        if (reading || engines.isEmpty()) {
+            return;
+        }
+        UpstreamName name = engines.get(next++ % engines.size());
+        try {
+            reading = true;
+            resources
+                    .upstreams()
+                    .engine(name)
+                    .cacheEvents(selector.prefixes().lastEvent(name))
+                    .whenComplete((events, failure) -> read(name, events));
+        } catch (EndiveholdException e) {
+            reading = false;
+        }
+    }
+
+    private void read(UpstreamName name, List<CacheEvent> events) {
+        reading = false;
+        if (events != null) {
+            selector.prefixes().events(name, events);
+        }
+    }
+}
--- a/daemon/src/main/java/org/endivehold/daemon/settings/Settings.java
+++ b/daemon/src/main/java/org/endivehold/daemon/settings/Settings.java
@@ -29,7 +29,7 @@
         HostId host,
         ZoneName zone,
         long seed,
-        Listen callers,
+        Callers callers,
         Operators operators,
         Peers peers,
         Store store,
@@ -42,12 +42,14 @@
         LedgerSettings ledger,
         Shutdown shutdown) {
     /**
-     * An address to listen on.
+     * The callers' port.
      *
      * @param address IP address
      * @param port TCP port; 0 for any free one
+     * @param reattachSecretFile file with the secret that signs reattach tokens, the same at all daemons; without it
+     *     callers get no tokens
      */
-    public record Listen(String address, int port) {}
+    public record Callers(String address, int port, Optional<String> reattachSecretFile) {}
 
     /**
      * The operators' port.
--- a/daemon/src/test/java/org/endivehold/daemon/TestContexts.java
+++ b/daemon/src/test/java/org/endivehold/daemon/TestContexts.java
@@ -41,7 +41,7 @@
                 new HostId(host),
                 new ZoneName("zone-a"),
                 1,
-                new Settings.Listen(LOOPBACK, 0),
+                new Settings.Callers(LOOPBACK, 0, Optional.empty()),
                 new Settings.Operators(LOOPBACK, 0, ""),
                 new Settings.Peers(LOOPBACK, 0, 4_096, tls),
                 new Settings.Store(List.of(), 500, "test/"),
--- a/daemon/src/test/java/org/endivehold/daemon/request/FakeEngine.java
+++ b/daemon/src/test/java/org/endivehold/daemon/request/FakeEngine.java
@@ -29,6 +29,7 @@
     final List<CacheHandle> exported = new ArrayList<>();
     final List<CacheHandle> released = new ArrayList<>();
     final List<StreamListener> listeners = new ArrayList<>();
+    boolean accepts = true;
     Script onStart = FakeEngine::answerAll;
     Script onResume = FakeEngine::answerAll;
 
@@ -63,7 +64,9 @@
     public StreamHandle start(GenerateRequest request, StreamListener listener) {
         started.add(request);
         listeners.add(listener);
-        listener.started(new StreamStarted(request.stream(), new BootNumber(1), 0));
+        if (accepts) {
+            listener.started(new StreamStarted(request.stream(), new BootNumber(1), 0));
+        }
         onStart.play(request.deliveredTokens(), request.maxTokens(), listener);
         return handle(request.stream());
     }
@@ -71,6 +74,7 @@
     @Override
     public StreamHandle resume(StreamId stream, long offset, StreamListener listener) {
         resumedAt.add(offset);
+        listener.started(new StreamStarted(stream, new BootNumber(1), 0));
         onResume.play(offset, ANSWER.length(), listener);
         return handle(stream);
     }
@@ -109,7 +113,7 @@
     @Override
     public CompletionStage<CacheHandle> prefillAndExport(GenerateRequest request) {
         CacheHandle handle = new CacheHandle(
-                name, "cache-" + exported.size(), request.prompt().length());
+                name, "cache-" + exported.size(), (request.prompt().length() + 3) / 4);
         exported.add(handle);
         return CompletableFuture.completedFuture(handle);
     }
--- a/daemon/src/test/java/org/endivehold/daemon/request/GenerationFixture.java
+++ b/daemon/src/test/java/org/endivehold/daemon/request/GenerationFixture.java
@@ -64,12 +64,16 @@
     private int calls;
 
     GenerationFixture(String... engineNames) throws Exception {
+        this(null, engineNames);
+    }
+
+    private GenerationFixture(String secretFile, String[] engineNames) throws Exception {
         for (String name : engineNames) {
             FakeEngine engine = new FakeEngine(name);
             engines.put(engine.name, engine);
             capacity.slots.put(engine.name, 2);
         }
-        context = context(vertx);
+        context = context(vertx, secretFile);
         service = new GenerationService(context);
         Kernel kernel = new Kernel()
                 .add(new ConfigurationService())
@@ -79,8 +83,8 @@
         onLoop(() -> kernel.start());
     }
 
-    static DaemonContext context(Vertx vertx) {
-        Settings settings = settings();
+    static DaemonContext context(Vertx vertx, String secretFile) {
+        Settings settings = settings(secretFile);
         Ticker ticker = Ticker.system();
         return new DaemonContext(
                 vertx,
@@ -93,12 +97,12 @@
                 new Incarnation(7));
     }
 
-    private static Settings settings() {
+    private static Settings settings(String secretFile) {
         return new Settings(
                 new HostId("h1"),
                 ZONE,
                 1,
-                null,
+                new Settings.Callers("127.0.0.1", 0, Optional.ofNullable(secretFile)),
                 null,
                 null,
                 null,
@@ -112,6 +116,10 @@
                 null);
     }
 
+    static GenerationFixture withSecret(String secretFile, String... engineNames) throws Exception {
+        return new GenerationFixture(secretFile, engineNames);
+    }
+
     FakeEngine engine(String name) {
         return engines.get(new UpstreamName(name));
     }
