--- a/core/src/main/java/org/endivehold/admission/AdmissionQueue.java
+++ b/core/src/main/java/org/endivehold/admission/AdmissionQueue.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableSet;
 import java.util.Optional;
 import java.util.TreeSet;
 import java.util.function.Predicate;
@@ -44,9 +45,9 @@
     private final int maxQueued;
     private final FairFlows<RequestClass> classes = new FairFlows<>();
     private final Map<RequestClass, FairFlows<CustomerName>> customers = new EnumMap<>(RequestClass.class);
-    private final Map<RequestClass, Map<CustomerName, TreeSet<AdmissionEntry<T>>>> waiting =
+    private final Map<RequestClass, Map<CustomerName, NavigableSet<AdmissionEntry<T>>>> waiting =
             new EnumMap<>(RequestClass.class);
-    private final TreeSet<AdmissionEntry<T>> byLatestStart = new TreeSet<>(latestStart());
+    private final NavigableSet<AdmissionEntry<T>> byLatestStart = new TreeSet<>(latestStart());
     private final Map<CustomerName, Integer> running = new HashMap<>();
     private final Map<CustomerName, Integer> queued = new HashMap<>();
     private final Map<CustomerName, CustomerLimits> limits = new HashMap<>();
@@ -94,7 +95,7 @@
             EndiveholdException full = new EndiveholdException(
                     ErrorType.QUEUE_FULL, victim.requestClass().word());
             pushedOut = refuse(victim, full);
-            if (victim == entry) {
+            if (victim.number() == entry.number()) {
                 return pushedOut;
             }
             remove(victim);
@@ -104,7 +105,7 @@
     }
 
     private void add(AdmissionEntry<T> entry, long now) {
-        Map<CustomerName, TreeSet<AdmissionEntry<T>>> ofClass = waiting.get(entry.requestClass());
+        Map<CustomerName, NavigableSet<AdmissionEntry<T>>> ofClass = waiting.get(entry.requestClass());
         if (ofClass.isEmpty()) {
             classes.activate(entry.requestClass());
         }
@@ -184,8 +185,8 @@
         if (!byLatestStart.remove(entry)) {
             return;
         }
-        Map<CustomerName, TreeSet<AdmissionEntry<T>>> ofClass = waiting.get(entry.requestClass());
-        TreeSet<AdmissionEntry<T>> ofCustomer = ofClass.get(entry.customer());
+        Map<CustomerName, NavigableSet<AdmissionEntry<T>>> ofClass = waiting.get(entry.requestClass());
+        NavigableSet<AdmissionEntry<T>> ofCustomer = ofClass.get(entry.customer());
         ofCustomer.remove(entry);
         if (ofCustomer.isEmpty()) {
             ofClass.remove(entry.customer());
@@ -258,10 +259,10 @@
      * of the other customers' of that class as fair queueing puts before it, is done.
      */
     private long waitMillis(AdmissionEntry<T> entry) {
-        Map<CustomerName, TreeSet<AdmissionEntry<T>>> ofClass = waiting.get(entry.requestClass());
+        Map<CustomerName, NavigableSet<AdmissionEntry<T>>> ofClass = waiting.get(entry.requestClass());
         double own = ownBefore(entry, ofClass.get(entry.customer()));
         double before = own;
-        for (Map.Entry<CustomerName, TreeSet<AdmissionEntry<T>>> other : ofClass.entrySet()) {
+        for (Map.Entry<CustomerName, NavigableSet<AdmissionEntry<T>>> other : ofClass.entrySet()) {
             if (!other.getKey().equals(entry.customer())) {
                 AdmissionEntry<T> first = other.getValue().first();
                 double theirs = other.getValue().size() * (double) first.costTokens();
@@ -271,7 +272,7 @@
         return drain.millisFor(before);
     }
 
-    private double ownBefore(AdmissionEntry<T> entry, TreeSet<AdmissionEntry<T>> own) {
+    private double ownBefore(AdmissionEntry<T> entry, NavigableSet<AdmissionEntry<T>> own) {
         if (own == null) {
             return 0;
         }
@@ -282,7 +283,7 @@
 
     /** Chooses who makes room: the newest of whoever has most waiting, deferrable requests first. */
     private AdmissionEntry<T> victim(AdmissionEntry<T> newcomer) {
-        Map<CustomerName, TreeSet<AdmissionEntry<T>>> deferrable = waiting.get(RequestClass.DEFERRABLE);
+        Map<CustomerName, NavigableSet<AdmissionEntry<T>>> deferrable = waiting.get(RequestClass.DEFERRABLE);
         boolean fromDeferrable = newcomer.requestClass() == RequestClass.DEFERRABLE || !deferrable.isEmpty();
         RequestClass requestClass = fromDeferrable ? RequestClass.DEFERRABLE : RequestClass.INTERACTIVE;
         CustomerName most = newcomer.customer();
@@ -303,7 +304,7 @@
     }
 
     private int count(RequestClass requestClass, CustomerName customer) {
-        TreeSet<AdmissionEntry<T>> entries = waiting.get(requestClass).get(customer);
+        NavigableSet<AdmissionEntry<T>> entries = waiting.get(requestClass).get(customer);
         return entries == null ? 0 : entries.size();
     }
 
@@ -315,7 +316,7 @@
     }
 
     private List<CustomerName> customerOrder(RequestClass requestClass) {
-        Map<CustomerName, TreeSet<AdmissionEntry<T>>> ofClass = waiting.get(requestClass);
+        Map<CustomerName, NavigableSet<AdmissionEntry<T>>> ofClass = waiting.get(requestClass);
         Comparator<CustomerName> earliest =
                 Comparator.comparing(customer -> ofClass.get(customer).first(), latestStart());
         return customers.get(requestClass).order(ofClass.keySet(), earliest);
--- a/core/src/main/java/org/endivehold/admission/DrainRate.java
+++ b/core/src/main/java/org/endivehold/admission/DrainRate.java
@@ -9,7 +9,7 @@
     private static final long LEAST_MILLIS = 100;
 
     private double rate;
-    private double tokens;
+    private long tokens;
     private long since = -1;
 
     /**
@@ -35,13 +35,13 @@
      * @param cost its cost in tokens
      * @param now monotonic time in milliseconds
      */
-    void served(double cost, long now) {
+    void served(long cost, long now) {
         tokens += cost;
         long span = now - since;
         if (since < 0 || span < LEAST_MILLIS) {
             return;
         }
-        double sample = tokens / span;
+        double sample = tokens / (double) span;
         double weight = rate == 0 ? 1 : 1 - Math.exp(-span / WINDOW_MILLIS);
         rate += weight * (sample - rate);
         since = now;
--- a/core/src/main/java/org/endivehold/admission/FairFlows.java
+++ b/core/src/main/java/org/endivehold/admission/FairFlows.java
@@ -39,7 +39,7 @@
      * @param cost cost in tokens
      * @param weight share of the flow
      */
-    void charge(K flow, double cost, double weight) {
+    void charge(K flow, long cost, double weight) {
         double tag = tags.getOrDefault(flow, virtualTime);
         virtualTime = Math.max(virtualTime, tag);
         tags.put(flow, tag + cost / weight);
