--- a/core/src/main/java/org/endivehold/placement/Ejection.java
+++ b/core/src/main/java/org/endivehold/placement/Ejection.java
@@ -57,7 +57,7 @@
      */
     public boolean allows(UpstreamName upstream, long now) {
         State state = states.get(upstream);
-        return state == null || !state.ejected || now >= state.until && !state.trying;
+        return state == null || !state.ejected || (now >= state.until && !state.trying);
     }
 
     /**
@@ -104,7 +104,7 @@
         State state = states.computeIfAbsent(upstream, name -> new State());
         state.failures++;
         state.trying = false;
-        if (state.failures < FAILURES || !state.ejected && !roomForOneMore()) {
+        if (state.failures < FAILURES || (!state.ejected && !roomForOneMore())) {
             return false;
         }
         int doublings = Math.min(state.failures - FAILURES, MAX_DOUBLINGS);
--- a/daemon/src/main/java/org/endivehold/daemon/Daemon.java
+++ b/daemon/src/main/java/org/endivehold/daemon/Daemon.java
@@ -6,10 +6,13 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import org.apache.commons.rng.simple.RandomSource;
+import org.endivehold.daemon.config.ConfigurationService;
 import org.endivehold.daemon.grant.CapacityService;
 import org.endivehold.daemon.kernel.Kernel;
 import org.endivehold.daemon.ledger.LedgerService;
 import org.endivehold.daemon.peer.TcpPeerTransport;
+import org.endivehold.daemon.platform.EtcdStore;
+import org.endivehold.daemon.platform.HttpHostList;
 import org.endivehold.daemon.request.GenerationService;
 import org.endivehold.daemon.request.PlainCallService;
 import org.endivehold.daemon.request.TraceLog;
@@ -46,6 +49,9 @@
 
     private void assemble() {
         // Each service is added here; the kernel orders them by their needs.
+        kernel.add(new EtcdStore(context));
+        kernel.add(new HttpHostList(context));
+        kernel.add(new ConfigurationService(context));
         kernel.add(new TcpPeerTransport(context));
         kernel.add(new CapacityService(context));
         kernel.add(new GenerationService(context));
