--- a/daemon/src/main/java/org/endivehold/daemon/Daemon.java
+++ b/daemon/src/main/java/org/endivehold/daemon/Daemon.java
@@ -17,6 +17,7 @@
 import org.endivehold.daemon.request.PlainCallService;
 import org.endivehold.daemon.request.TraceLog;
 import org.endivehold.daemon.settings.Settings;
+import org.endivehold.daemon.upstream.UpstreamService;
 import org.endivehold.error.ErrorManager;
 import org.endivehold.misc.Incarnation;
 import org.endivehold.misc.Ticker;
@@ -55,6 +56,7 @@
         kernel.add(new TcpPeerTransport(context));
         kernel.add(new CapacityService(context));
         kernel.add(new GenerationService(context));
+        kernel.add(new UpstreamService(context));
         kernel.add(new LedgerService(context));
         kernel.add(new PlainCallService(context));
     }
