--- a/daemon/src/main/java/org/endivehold/daemon/Daemon.java
+++ b/daemon/src/main/java/org/endivehold/daemon/Daemon.java
@@ -10,6 +10,7 @@
 import org.endivehold.daemon.grant.CapacityService;
 import org.endivehold.daemon.kernel.Kernel;
 import org.endivehold.daemon.ledger.LedgerService;
+import org.endivehold.daemon.membership.MembershipService;
 import org.endivehold.daemon.peer.TcpPeerTransport;
 import org.endivehold.daemon.platform.EtcdStore;
 import org.endivehold.daemon.platform.HttpHostList;
@@ -54,6 +55,7 @@
         kernel.add(new HttpHostList(context));
         kernel.add(new ConfigurationService(context));
         kernel.add(new TcpPeerTransport(context));
+        kernel.add(new MembershipService(context));
         kernel.add(new CapacityService(context));
         kernel.add(new GenerationService(context));
         kernel.add(new UpstreamService(context));
