Let the caller front's test client read every body

CallerFrontTest.passesPlainCalls timed out in 2 of 2 whole runs on a busy machine. Cause: the client asked for the body in a callback added from the test thread, so a body that had arrived before was lost.

--- a/daemon/src/test/java/org/endivehold/daemon/http/CallerFrontTest.java
+++ b/daemon/src/test/java/org/endivehold/daemon/http/CallerFrontTest.java
@@ -92,8 +92,8 @@
             options.putHeader(headers[i], headers[i + 1]);
         }
         return await(
-                client.request(options).compose(request -> request.send(body)).compose(response -> response.body()
-                        .map(buffer -> new Reply(response.statusCode(), buffer.toString(), response))));
+                client.request(options).compose(request -> request.send(body).compose(response -> response.body()
+                        .map(buffer -> new Reply(response.statusCode(), buffer.toString(), response)))));
     }
 
     private Reply post(String path, String body, String... headers) throws Exception {
