--- a/daemon/src/main/java/org/endivehold/daemon/Daemon.java
+++ b/daemon/src/main/java/org/endivehold/daemon/Daemon.java
@@ -8,6 +8,7 @@
 import org.apache.commons.rng.simple.RandomSource;
 import org.endivehold.daemon.config.ConfigurationService;
 import org.endivehold.daemon.grant.CapacityService;
+import org.endivehold.daemon.http.CallerFront;
 import org.endivehold.daemon.kernel.Kernel;
 import org.endivehold.daemon.ledger.LedgerService;
 import org.endivehold.daemon.membership.MembershipService;
@@ -61,6 +62,8 @@
         kernel.add(new UpstreamService(context));
         kernel.add(new LedgerService(context));
         kernel.add(new PlainCallService(context));
+        kernel.add(new GenerationService(context));
+        kernel.add(new CallerFront(context));
     }
 
     /**
