--- a/cli/src/main/java/org/endivehold/cli/FleetView.java
+++ b/cli/src/main/java/org/endivehold/cli/FleetView.java
@@ -62,53 +62,52 @@
     }
 
     private void upstreams() {
-        Map<String, JsonObject> reports = reports();
+        Map<String, Use> uses = uses();
         List<List<String>> rows = new ArrayList<>();
         for (JsonObject upstream : objects("upstreams")) {
-            JsonObject report = reports.getOrDefault(upstream.getString("name"), new JsonObject());
+            Use use = uses.getOrDefault(upstream.getString("name"), Use.NONE);
             rows.add(List.of(
                     upstream.getString("name"),
                     upstream.getString("type"),
                     upstream.getString("zone"),
                     upstream.getString("state"),
                     upstream.getValue("slots").toString(),
-                    text(report, "slots"),
-                    text(report, "inUse"),
-                    text(report, "state")));
+                    Long.toString(use.used() + use.free()),
+                    Long.toString(use.used()),
+                    Long.toString(use.waitingTokens())));
         }
-        table(List.of("UPSTREAM", "TYPE", "ZONE", "STATE", "SLOTS", "GRANTED", "IN USE", "SEEN AS"), rows);
+        table(List.of("UPSTREAM", "TYPE", "ZONE", "STATE", "SLOTS", "GRANTED", "IN USE", "WAITING TOKENS"), rows);
     }
 
-    /** Adds up what the daemons hold of each upstream. */
-    private Map<String, JsonObject> reports() {
-        Map<String, JsonObject> reports = new TreeMap<>();
-        for (JsonObject daemon : objects("daemons")) {
-            JsonArray shares = array(part(daemon, "capacity"), "shares");
-            for (int i = 0; i < shares.size(); i++) {
-                if (shares.getValue(i) instanceof JsonObject share
-                        && share.getValue("upstream") instanceof String name) {
-                    JsonObject sum = reports.computeIfAbsent(name, key -> new JsonObject());
-                    add(sum, share, "slots");
-                    add(sum, share, "inUse");
-                    if (share.getValue("state") != null) {
-                        sum.put("state", share.getValue("state"));
-                    }
-                }
-            }
+    /** What all daemons together may use of an upstream, and use. */
+    private record Use(long used, long free, long waitingTokens) {
+        static final Use NONE = new Use(0, 0, 0);
+
+        Use plus(JsonObject share) {
+            return new Use(
+                    used + share.getLong("usedSlots", 0L),
+                    free + share.getLong("freeSlots", 0L),
+                    Math.max(waitingTokens, share.getLong("waitingPrefillTokens", 0L)));
         }
-        return reports;
     }
 
-    private static void add(JsonObject sum, JsonObject share, String field) {
-        if (share.getValue(field) instanceof Number number) {
-            sum.put(field, sum.getLong(field, 0L) + number.longValue());
+    private Map<String, Use> uses() {
+        Map<String, Use> uses = new TreeMap<>();
+        for (JsonObject daemon : objects("daemons")) {
+            JsonArray shares = array(parts(daemon), "capacity");
+            for (int i = 0; i < shares.size(); i++) {
+                JsonObject share = shares.getJsonObject(i);
+                String name = share.getString("upstream");
+                uses.put(name, uses.getOrDefault(name, Use.NONE).plus(share));
+            }
         }
+        return uses;
     }
 
     private void daemons() {
         List<List<String>> rows = new ArrayList<>();
         for (JsonObject daemon : objects("daemons")) {
-            JsonObject callers = part(daemon, "http");
+            JsonObject callers = part(daemon, "front");
             JsonObject status = daemon.getJsonObject("status", new JsonObject());
             rows.add(List.of(
                     daemon.getString("host"),
@@ -169,9 +168,11 @@
     }
 
     private static JsonObject part(JsonObject daemon, String name) {
-        return daemon.getJsonObject("status", new JsonObject())
-                .getJsonObject("parts", new JsonObject())
-                .getJsonObject(name, new JsonObject());
+        return parts(daemon).getJsonObject(name, new JsonObject());
+    }
+
+    private static JsonObject parts(JsonObject daemon) {
+        return daemon.getJsonObject("status", new JsonObject()).getJsonObject("parts", new JsonObject());
     }
 
     private static String text(JsonObject object, String field) {
--- a/cli/src/main/java/org/endivehold/cli/Publishing.java
+++ b/cli/src/main/java/org/endivehold/cli/Publishing.java
@@ -45,7 +45,7 @@
     List<String> awaitEverywhere(long revision, long timeoutMillis) throws EndiveholdException {
         long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
         while (true) {
-            List<String> lagging = lagging(client.get("/v1/fleet"), revision);
+            List<String> lagging = lagging(client.get("/v1/fleet?brief=true"), revision);
             if (lagging.isEmpty() || System.nanoTime() >= deadline) {
                 return lagging;
             }
--- a/cli/src/test/java/org/endivehold/cli/OperatorToolTest.java
+++ b/cli/src/test/java/org/endivehold/cli/OperatorToolTest.java
@@ -82,6 +82,7 @@
             return view.contains("h0") && view.contains("h1") && view.contains("h2");
         });
         String view = fleet.run("top", "--count", "1").out();
+        assertTrue(view.matches("(?s).*engine-01 +engine +quito-norte +serving +32 .*"), view);
         assertTrue(view.contains("in force at every live daemon"), view);
         assertTrue(view.contains("quito-norte") && view.contains("engine-16"), view);
         assertEquals(1, new JsonObject(fleet.run("--json", "status").out()).getInteger("revision"));
--- a/daemon/src/main/java/org/endivehold/daemon/operator/FleetCollector.java
+++ b/daemon/src/main/java/org/endivehold/daemon/operator/FleetCollector.java
@@ -4,6 +4,7 @@
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -37,8 +38,8 @@
     }
 
     /** Returns a document per daemon, this one included. */
-    Future<JsonArray> statuses(JsonObject own) {
-        return ask(own, new StatusQuery(), answer -> new JsonObject()
+    Future<JsonArray> statuses(JsonObject own, boolean brief) {
+        return ask(own, new StatusQuery(brief), answer -> new JsonObject()
                 .put("status", new JsonObject(((StatusAnswer) answer).json())));
     }
 
@@ -69,7 +70,10 @@
                     .map(answer -> answer.put("host", host.value()).put("membership", state))));
             return Future.join(answers).map(done -> {
                 JsonArray daemons = new JsonArray();
-                answers.forEach(answer -> daemons.add(answer.result()));
+                answers.stream()
+                        .map(Future::result)
+                        .sorted(Comparator.comparing(daemon -> daemon.getString("host")))
+                        .forEach(daemons::add);
                 return daemons;
             });
         });
--- a/daemon/src/main/java/org/endivehold/daemon/operator/OperatorPort.java
+++ b/daemon/src/main/java/org/endivehold/daemon/operator/OperatorPort.java
@@ -30,6 +30,7 @@
 import org.endivehold.error.EndiveholdException;
 import org.endivehold.error.ErrorType;
 import org.endivehold.membership.LiveHosts;
+import org.endivehold.misc.LogEvent;
 import org.endivehold.misc.RequestId;
 import org.endivehold.platform.HostList;
 import org.endivehold.platform.PlatformStore;
@@ -37,12 +38,14 @@
 import org.endivehold.wire.StatusQuery;
 import org.endivehold.wire.TraceAnswer;
 import org.endivehold.wire.TraceQuery;
+import org.jboss.logging.Logger;
 
 /** The HTTP port for operators; works before any configuration is in force, so that the first can be published. */
 public final class OperatorPort implements Service {
     /** Name of the service. */
     public static final String NAME = "operators";
 
+    private static final Logger log = Logger.getLogger(OperatorPort.class);
     private static final int MAX_BODY_BYTES = ConfigurationReader.MAX_DOCUMENT_BYTES;
     private static final int IDLE_SECONDS = 60;
     private static final RequestId NO_REQUEST = new RequestId("operator");
@@ -93,6 +96,10 @@
                             context.settings().operators().port(),
                             context.settings().operators().address());
                 })
+                .onSuccess(listening -> LogEvent.of("operators-listening")
+                        .with("address", context.settings().operators().address())
+                        .with("port", listening.actualPort())
+                        .info(log))
                 .mapEmpty();
     }
 
@@ -106,7 +113,7 @@
         peers.handle(
                 StatusQuery.class,
                 (host, query) -> Future.succeededFuture(
-                        new StatusAnswer(statuses.collect().encode())));
+                        new StatusAnswer(statuses.collect(query.brief()).encode())));
         peers.handle(TraceQuery.class, (host, query) -> Future.succeededFuture(trace(query.request())));
     }
 
@@ -137,8 +144,8 @@
                 .handler(answer(call -> configurations.configuration(
                         Optional.ofNullable(call.request().getParam("revision")))));
         router.get("/v1/history").handler(answer(call -> configurations.history()));
-        router.get("/v1/status").handler(answer(call -> Future.succeededFuture(statuses.collect())));
-        router.get("/v1/fleet").handler(answer(call -> fleet()));
+        router.get("/v1/status").handler(answer(call -> Future.succeededFuture(statuses.collect(false))));
+        router.get("/v1/fleet").handler(answer(this::fleet));
         router.get("/v1/trace/:request").handler(answer(this::trace));
         router.route().failureHandler(this::failed);
         router.errorHandler(HttpStatus.NOT_FOUND, call -> fail(call, ErrorType.OPERATOR_REQUEST, "no such path"));
@@ -165,11 +172,14 @@
         });
     }
 
-    private Future<JsonObject> fleet() {
-        JsonObject own = new JsonObject().put("status", statuses.collect());
-        return fleet.statuses(own).map(daemons -> {
+    private Future<JsonObject> fleet(RoutingContext call) {
+        boolean brief = "true".equals(call.request().getParam("brief"));
+        JsonObject own = new JsonObject().put("status", statuses.collect(brief));
+        return fleet.statuses(own, brief).map(daemons -> {
             JsonObject document = new JsonObject();
-            active.current().ifPresent(snapshot -> describe(document, snapshot));
+            if (!brief) {
+                active.current().ifPresent(snapshot -> describe(document, snapshot));
+            }
             return document.put("daemons", daemons);
         });
     }
--- a/daemon/src/main/java/org/endivehold/daemon/operator/StatusCollector.java
+++ b/daemon/src/main/java/org/endivehold/daemon/operator/StatusCollector.java
@@ -7,9 +7,12 @@
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import org.endivehold.daemon.DaemonContext;
+import org.endivehold.daemon.config.ActiveConfiguration;
 import org.endivehold.daemon.kernel.Kernel;
 import org.endivehold.daemon.kernel.ReadinessCheck;
 import org.endivehold.daemon.kernel.StatusContributor;
+import org.endivehold.grant.Capacity;
+import org.endivehold.grant.Share;
 
 /** Collects the status of all services of this daemon into one JSON document. */
 final class StatusCollector {
@@ -24,21 +27,46 @@
         this.kernel = kernel;
     }
 
-    JsonObject collect() {
+    /** Collects the status; only the configuration in force if it is to be brief. */
+    JsonObject collect(boolean brief) {
         JsonObject parts = new JsonObject();
         for (StatusContributor part : kernel.all(StatusContributor.class)) {
-            parts.put(part.statusName(), part(part));
+            if (!brief || part.statusName().equals(ActiveConfiguration.NAME)) {
+                parts.put(part.statusName(), part(part));
+            }
         }
-        JsonObject document = new JsonObject()
+        if (!brief) {
+            parts.put("capacity", shares());
+        }
+        return new JsonObject()
                 .put("host", context.settings().host().value())
                 .put("zone", context.settings().zone().value())
-                .put("incarnation", context.incarnation().value());
-        document.put(
-                "notReady",
-                new JsonArray(kernel.all(ReadinessCheck.class).stream()
-                        .flatMap(check -> check.notReady().stream())
-                        .toList()));
-        return document.put("parts", parts);
+                .put("incarnation", context.incarnation().value())
+                .put("notReady", notReady())
+                .put("parts", parts);
+    }
+
+    private JsonArray notReady() {
+        return new JsonArray(kernel.all(ReadinessCheck.class).stream()
+                .flatMap(check -> check.notReady().stream())
+                .toList());
+    }
+
+    /** Returns what this daemon may use of each upstream, and uses. */
+    private JsonArray shares() {
+        JsonArray array = new JsonArray();
+        for (Capacity capacity : kernel.all(Capacity.class)) {
+            for (Share share : capacity.shares(context.ticker().millis())) {
+                array.add(new JsonObject()
+                        .put("upstream", share.upstream().value())
+                        .put("usedSlots", share.usedSlots())
+                        .put("freeSlots", share.freeSlots())
+                        .put("freeMemoryTokens", share.freeMemoryTokens())
+                        .put("waitingPrefillTokens", share.waitingPrefillTokens())
+                        .put("longAllowed", share.longAllowed()));
+            }
+        }
+        return array;
     }
 
     private Object part(StatusContributor part) {
--- a/wire/src/main/java/org/endivehold/wire/StatusQuery.java
+++ b/wire/src/main/java/org/endivehold/wire/StatusQuery.java
@@ -1,4 +1,8 @@
 package org.endivehold.wire;
 
-/** Asks a daemon for its status on behalf of an operator; answered by {@link StatusAnswer}. */
-public record StatusQuery() implements Message {}
+/**
+ * Asks a daemon for its status on behalf of an operator; answered by {@link StatusAnswer}.
+ *
+ * @param brief whether only the configuration in force is wanted
+ */
+public record StatusQuery(boolean brief) implements Message {}
