--- /dev/null
+++ b/core/src/main/java/org/endivehold/grant/GrantorStatement.java
@@ -0,0 +1,19 @@
+package org.endivehold.grant;
+
+import java.util.List;
+import org.endivehold.misc.Epoch;
+import org.endivehold.misc.HostId;
+
+/**
+ * What a grantor that has stopped says to its successor.
+ *
+ * @param epoch the epoch in which it acted last
+ * @param complete whether its own takeover was complete, so that no earlier grantor can have served others
+ * @param served hosts that it served, asked or had yet to hear of
+ */
+public record GrantorStatement(Epoch epoch, boolean complete, List<HostId> served) {
+    /** Copies the list. */
+    public GrantorStatement {
+        served = served == null ? List.of() : List.copyOf(served);
+    }
+}
