--- a/daemon/src/main/java/org/endivehold/daemon/Daemon.java
+++ b/daemon/src/main/java/org/endivehold/daemon/Daemon.java
@@ -68,6 +68,7 @@
         kernel.add(new ConfigurationSpread(context));
         kernel.add(new OperatorPort(context));
         kernel.add(new CapacityService(context));
+        kernel.add(new GenerationService(context));
         kernel.add(new UpstreamService(context));
         kernel.add(new LedgerService(context));
         kernel.add(new PlainCallService(context));
