Count store calls by outcome, gauge the revision in force, log each publish

An operator could see an outage only in status. The counter endivehold.store.calls (call, outcome), the gauges endivehold.config.revision and endivehold.config.store.silent.millis, and the event configuration-published with operator and publish id show it in metrics and logs.

--- a/daemon/src/main/java/org/endivehold/daemon/config/ConfigurationService.java
+++ b/daemon/src/main/java/org/endivehold/daemon/config/ConfigurationService.java
@@ -86,6 +86,8 @@
             return Future.failedFuture(e);
         }
         archive = new ConfigurationArchive(store);
+        context.meters().gauge("endivehold.config.revision", this, ConfigurationService::revision);
+        context.meters().gauge("endivehold.config.store.silent.millis", this, s -> (double) s.storeSilentMillis());
         watch = store.watch(ConfigurationKeys.HEAD, new HeadListener());
         timer = context.vertx().setPeriodic(TICK_MILLIS, id -> tick());
         return Future.succeededFuture();
@@ -204,7 +206,7 @@
     public ConfigurationStatus status() {
         long now = context.ticker().millis();
         return new ConfigurationStatus(
-                current().map(snapshot -> snapshot.revision().value()).orElse(0L),
+                revision(),
                 current().map(ConfigurationSnapshot::digest).orElse(""),
                 source,
                 state.isIsolated(now),
@@ -214,6 +216,10 @@
                 current().map(ConfigurationService::upstreamsLeaving).orElse(List.of()));
     }
 
+    private long revision() {
+        return current().map(snapshot -> snapshot.revision().value()).orElse(0L);
+    }
+
     private static List<String> zonesOut(ConfigurationSnapshot snapshot) {
         return snapshot.configuration().zones().values().stream()
                 .filter(zone -> zone.state() == AvailabilityZone.State.OUT)
--- a/daemon/src/main/java/org/endivehold/daemon/operator/ConfigurationHandler.java
+++ b/daemon/src/main/java/org/endivehold/daemon/operator/ConfigurationHandler.java
@@ -22,11 +22,14 @@
 import org.endivehold.daemon.config.ConfigurationService;
 import org.endivehold.error.EndiveholdException;
 import org.endivehold.error.ErrorType;
+import org.endivehold.misc.LogEvent;
 import org.endivehold.misc.Revision;
 import org.endivehold.platform.PlatformStore;
+import org.jboss.logging.Logger;
 
 /** Answers the operators' calls about configurations. */
 final class ConfigurationHandler {
+    private static final Logger log = Logger.getLogger(ConfigurationHandler.class);
     private static final int KEPT_REVISIONS = 50;
     private static final int MAX_OPERATOR_LENGTH = 128;
 
@@ -131,6 +134,12 @@
     }
 
     private static JsonObject published(PublishResult result) {
+        LogEvent.of("configuration-published")
+                .with("revision", result.head().revision())
+                .with("publish", result.head().publishId())
+                .with("operator", result.head().operator())
+                .with("repeated", result.repeated())
+                .info(log);
         return record(result.head()).put("repeated", result.repeated());
     }
 
--- a/daemon/src/main/java/org/endivehold/daemon/platform/EtcdStore.java
+++ b/daemon/src/main/java/org/endivehold/daemon/platform/EtcdStore.java
@@ -64,12 +64,12 @@
 
     @Override
     public CompletionStage<Optional<StoreEntry>> get(String key) {
-        return stage(caller.read(RANGE, json.range(key)).map(json::firstEntry));
+        return stage("get", caller.read(RANGE, json.range(key)).map(json::firstEntry));
     }
 
     @Override
     public CompletionStage<List<StoreEntry>> list(String prefix) {
-        return stage(caller.read(RANGE, json.rangePrefix(prefix)).map(json::entries));
+        return stage("list", caller.read(RANGE, json.rangePrefix(prefix)).map(json::entries));
     }
 
     @Override
@@ -79,42 +79,51 @@
             return CompletableFuture.failedFuture(new EndiveholdException(
                     ErrorType.STORE_REFUSED, "the value of " + key + " exceeds " + MAX_VALUE_BYTES + " bytes"));
         }
-        return stage(caller.write(TXN, json.put(key, expected, value, lease)).map(answer -> {
-            if (answer.getBoolean("succeeded", false)) {
-                StoreEntry written = new StoreEntry(key, value, EtcdJson.headerRevision(answer));
-                return new SwapResult(true, Optional.of(written));
-            }
-            return new SwapResult(false, json.standing(answer));
-        }));
+        return stage(
+                "swap", caller.write(TXN, json.put(key, expected, value, lease)).map(answer -> {
+                    if (answer.getBoolean("succeeded", false)) {
+                        StoreEntry written = new StoreEntry(key, value, EtcdJson.headerRevision(answer));
+                        return new SwapResult(true, Optional.of(written));
+                    }
+                    return new SwapResult(false, json.standing(answer));
+                }));
     }
 
     @Override
     public CompletionStage<Boolean> delete(String key, long expected) {
-        return stage(caller.write(TXN, json.delete(key, expected))
-                .map(answer -> expected > 0 && answer.getBoolean("succeeded", false)));
+        return stage(
+                "delete",
+                caller.write(TXN, json.delete(key, expected))
+                        .map(answer -> expected > 0 && answer.getBoolean("succeeded", false)));
     }
 
     @Override
     public CompletionStage<LeaseId> grantLease(Duration ttl) {
         long seconds = Math.max(1, (ttl.toMillis() + 999) / 1_000);
         JsonObject body = new JsonObject().put("TTL", Long.toString(seconds));
-        return stage(caller.write("/v3/lease/grant", body).map(answer -> new LeaseId(EtcdJson.number(answer, "ID"))));
+        return stage(
+                "lease-grant",
+                caller.write("/v3/lease/grant", body).map(answer -> new LeaseId(EtcdJson.number(answer, "ID"))));
     }
 
     @Override
     public CompletionStage<Duration> renewLease(LeaseId lease) {
-        return stage(caller.write("/v3/lease/keepalive", EtcdJson.lease(lease)).compose(answer -> {
-            JsonObject result = answer.getJsonObject("result", answer);
-            long seconds = EtcdJson.number(result, "TTL");
-            return seconds > 0
-                    ? Future.succeededFuture(Duration.ofSeconds(seconds))
-                    : Future.failedFuture(new EndiveholdException(ErrorType.LEASE_LOST, lease.value()));
-        }));
+        return stage(
+                "lease-renew",
+                caller.write("/v3/lease/keepalive", EtcdJson.lease(lease)).compose(answer -> {
+                    JsonObject result = answer.getJsonObject("result", answer);
+                    long seconds = EtcdJson.number(result, "TTL");
+                    return seconds > 0
+                            ? Future.succeededFuture(Duration.ofSeconds(seconds))
+                            : Future.failedFuture(new EndiveholdException(ErrorType.LEASE_LOST, lease.value()));
+                }));
     }
 
     @Override
     public CompletionStage<Void> revokeLease(LeaseId lease) {
-        return stage(caller.write("/v3/lease/revoke", EtcdJson.lease(lease)).mapEmpty());
+        return stage(
+                "lease-revoke",
+                caller.write("/v3/lease/revoke", EtcdJson.lease(lease)).mapEmpty());
     }
 
     @Override
@@ -125,7 +134,16 @@
         return watch;
     }
 
-    private static <T> CompletionStage<T> stage(Future<T> future) {
-        return future.toCompletionStage();
+    /** Counts the call by its outcome. */
+    private <T> CompletionStage<T> stage(String call, Future<T> future) {
+        return future.onComplete(done -> {
+                    String outcome = done.succeeded()
+                            ? "done"
+                            : EndiveholdException.unwrap(done.cause()).type().word();
+                    context.meters()
+                            .counter("endivehold.store.calls", "call", call, "outcome", outcome)
+                            .increment();
+                })
+                .toCompletionStage();
     }
 }
