Wait for daemons to hear their neighbours instead of asking at one instant

Two cases asserted at one instant that a daemon is not isolated. They wait for it now; that isolation needs both losses is asserted on protocol time in ActivationStateTest.

--- a/cli/src/test/java/org/endivehold/cli/OperatorToolTest.java
+++ b/cli/src/test/java/org/endivehold/cli/OperatorToolTest.java
@@ -1,7 +1,6 @@
 package org.endivehold.cli;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -175,7 +174,7 @@
         ConfigurationStatus cut = fleet.status(2);
         assertEquals(List.of("quito-norte"), cut.zonesOut());
         assertNotEquals("store", cut.source());
-        assertFalse(cut.isolated());
+        Fleet.until("it hears its neighbours", () -> !fleet.status(2).isolated());
     }
 
     @Test
@@ -207,8 +206,9 @@
         fleet.store.faults(StoreFaults.OUTAGE);
         Fleet.until("the outage is noticed", () -> fleet.status(0).storeSilentMillis() > 5_000);
         for (int i = 0; i < Fleet.DAEMONS; i++) {
+            int daemon = i;
             assertEquals(1, fleet.status(i).revision());
-            assertFalse(fleet.status(i).isolated());
+            Fleet.until("it hears its neighbours", () -> !fleet.status(daemon).isolated());
         }
         Fleet.Result refused = fleet.run("zone", "out", "quito-sur");
         assertEquals(ExitCode.UNAVAILABLE, refused.code(), refused::toString);
