Add the bench: experiments, callers, invariants and reports

Open-loop callers over real HTTP before real daemons; every policy meets the same requests. Time counts from when a request was due. Invariants come from the stand-ins' log and from the callers. The event stream parser is public and knows event ids, so that callers use it too.

--- /dev/null
+++ b/bench/src/main/java/org/endivehold/bench/BenchTool.java
@@ -0,0 +1,33 @@
+package org.endivehold.bench;
+
+import com.github.rvesse.airline.annotations.Cli;
+import com.github.rvesse.airline.help.Help;
+import com.github.rvesse.airline.parser.errors.ParseException;
+
+/** Measures the system with real daemons before stand-ins. */
+@Cli(
+        name = "endivehold-bench",
+        description = "Experiments with real daemons before stand-in engines, on loopback",
+        defaultCommand = Help.class,
+        commands = {Help.class, RunCommand.class})
+public final class BenchTool {
+    private static final int EXIT_USAGE = 2;
+
+    private BenchTool() {}
+
+    /**
+     * Runs a command.
+     *
+     * @param args the command line
+     */
+    public static void main(String[] args) {
+        try {
+            Runnable command = new com.github.rvesse.airline.Cli<Runnable>(BenchTool.class).parse(args);
+            command.run();
+            System.exit(command instanceof BenchCommand bench ? bench.exitCode() : 0);
+        } catch (ParseException e) {
+            System.err.println("endivehold-bench: " + e.getMessage());
+            System.exit(EXIT_USAGE);
+        }
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/endivehold/bench/RunCommand.java
@@ -0,0 +1,166 @@
+package org.endivehold.bench;
+
+import com.github.rvesse.airline.annotations.Arguments;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.annotations.help.Examples;
+import java.io.PrintStream;
+import java.lang.management.ManagementFactory;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.endivehold.bench.experiment.Experiment;
+import org.endivehold.bench.experiment.Experiments;
+import org.endivehold.bench.experiment.PolicyRun;
+import org.endivehold.bench.experiment.PolicyRunner;
+import org.endivehold.bench.fleet.FleetPlan;
+import org.endivehold.bench.fleet.FleetPolicy;
+import org.endivehold.bench.measure.BareEngine;
+import org.endivehold.bench.measure.ExperimentReport;
+import org.endivehold.bench.measure.InvariantChecker;
+import org.endivehold.bench.measure.PolicyReport;
+import org.endivehold.bench.measure.ReportFiles;
+import org.endivehold.bench.measure.TextReport;
+import org.endivehold.bench.workload.Phase;
+import org.endivehold.bench.workload.Size;
+import org.endivehold.bench.workload.Workload;
+import org.endivehold.config.Configuration;
+import org.endivehold.config.Upstream;
+import org.endivehold.error.EndiveholdException;
+import org.endivehold.error.ErrorType;
+import org.endivehold.standin.engine.EngineParameters;
+
+/** Runs one experiment with one or several policies. */
+@Command(name = "run", description = "Run an experiment: thin, lengths, blocking, zone, cold, crash or store-outage")
+@Examples(
+        examples = {"endivehold-bench run lengths --size quito --policy endivehold,least-outstanding --out out"},
+        descriptions = {"Compares the shipped policy with a baseline"})
+public final class RunCommand extends BenchCommand {
+    private static final int EXIT_BROKEN = 1;
+    private static final int EXIT_BOTTLENECK = 4;
+    private static final double MAX_SENDER_LAG_MILLIS = 100;
+
+    @Arguments(title = "EXPERIMENT", description = "Name of the experiment")
+    private String experimentName = "thin";
+
+    @Option(
+            name = {"--size"},
+            description = "Site: quito or fondo")
+    private String sizeName = "quito";
+
+    @Option(
+            name = {"--policy"},
+            description = "Policies, separated by commas; the first is judged, the others are baselines: endivehold,"
+                    + " round-robin, least-outstanding, unlimited, equal-share")
+    private String policyNames = "endivehold,least-outstanding,round-robin";
+
+    @Option(
+            name = {"--out"},
+            description = "Folder for the JSON file and the picture")
+    private String out = "bench-out";
+
+    @Option(
+            name = {"--seed"},
+            description = "Seed of the workload")
+    private long seed = 1;
+
+    @Option(
+            name = {"--speed"},
+            description = "Factor from 1 to 10 that speeds the engines up")
+    private double speed = 10;
+
+    @Option(
+            name = {"--examples"},
+            description = "Folder with the example configurations")
+    private String examples = "examples";
+
+    private final PrintStream print = System.out;
+
+    @Override
+    protected int execute() throws EndiveholdException {
+        Experiment experiment =
+                Experiments.of(experimentName).orElseThrow(() -> usage("no experiment is named " + experimentName));
+        Size size = Size.of(sizeName).orElseThrow(() -> usage("no size is named " + sizeName));
+        Configuration configuration = size.configuration(Path.of(examples));
+        Workload workload = Workload.draw(size, configuration, speed, seed, experiment.phases());
+        List<PolicyReport> reports = new ArrayList<>();
+        for (FleetPolicy policy : policies()) {
+            reports.add(run(experiment, size, configuration, workload, policy));
+        }
+        return finish(report(experiment, size, configuration, reports));
+    }
+
+    private PolicyReport run(
+            Experiment experiment, Size size, Configuration configuration, Workload workload, FleetPolicy policy)
+            throws EndiveholdException {
+        FleetPlan plan = FleetPlan.builder(configuration)
+                .policy(policy)
+                .daemons(size.daemons())
+                .speed(speed)
+                .seed(seed)
+                .build();
+        PolicyRun run = new PolicyRunner(experiment, size, workload, seed, print::println).run(plan);
+        List<String> phases = experiment.phases().stream().map(Phase::name).toList();
+        return PolicyReport.of(
+                run, phases, bareEngine(configuration), new InvariantChecker(experiment, configuration).check(run));
+    }
+
+    private BareEngine bareEngine(Configuration configuration) {
+        Upstream engine = engines(configuration).get(0);
+        EngineParameters parameters = EngineParameters.builder(engine.name().value(), "any", "any")
+                .prefill((double) engine.prefillTokensPerSecond())
+                .speed(speed)
+                .build();
+        return parameters::bareFirstTokenMillis;
+    }
+
+    private static List<Upstream> engines(Configuration configuration) {
+        return configuration.upstreams().values().stream()
+                .filter(u -> u.kind() == Upstream.Kind.ENGINE)
+                .toList();
+    }
+
+    private ExperimentReport report(
+            Experiment experiment, Size size, Configuration configuration, List<PolicyReport> reports) {
+        return new ExperimentReport(
+                experiment.name(),
+                size.word(),
+                seed,
+                speed,
+                size.daemons(),
+                engines(configuration).size(),
+                ExperimentReport.targets(reports.get(0), speed),
+                reports,
+                Runtime.getRuntime().availableProcessors(),
+                ManagementFactory.getOperatingSystemMXBean().getSystemLoadAverage());
+    }
+
+    private int finish(ExperimentReport report) throws EndiveholdException {
+        Path folder = Path.of(out);
+        String name = report.experiment() + "-" + report.size();
+        ReportFiles.json(folder.resolve(name + ".json"), report);
+        ReportFiles.picture(folder.resolve(name + ".png"), report);
+        boolean held = new TextReport(print).print(report);
+        double lag = report.policies().stream()
+                .mapToDouble(PolicyReport::senderLagP99)
+                .max()
+                .orElse(0);
+        if (lag > MAX_SENDER_LAG_MILLIS) {
+            print.printf("the load tool is the bottleneck: p99 of its lag is %.0f ms%n", lag);
+            return EXIT_BOTTLENECK;
+        }
+        return held ? 0 : EXIT_BROKEN;
+    }
+
+    private List<FleetPolicy> policies() throws EndiveholdException {
+        List<FleetPolicy> policies = new ArrayList<>();
+        for (String name : List.of(policyNames.split(",", -1))) {
+            policies.add(FleetPolicy.of(name.strip()).orElseThrow(() -> usage("no policy is named " + name)));
+        }
+        return policies;
+    }
+
+    private static EndiveholdException usage(String message) {
+        return new EndiveholdException(ErrorType.BAD_REQUEST, message);
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/endivehold/bench/caller/package-info.java
@@ -0,0 +1,2 @@
+/** Callers over real HTTP, and what they saw. */
+package org.endivehold.bench.caller;
--- /dev/null
+++ b/bench/src/main/java/org/endivehold/bench/measure/BandFigures.java
@@ -0,0 +1,78 @@
+package org.endivehold.bench.measure;
+
+import java.util.List;
+import org.HdrHistogram.Histogram;
+import org.endivehold.bench.caller.CallResult;
+import org.endivehold.bench.workload.LengthBand;
+
+/**
+ * Time to first token of the interactive prompts of one phase and length band, in milliseconds from when each was due.
+ *
+ * @param phase the phase
+ * @param band the band
+ * @param count prompts that got a first token
+ * @param p50 median
+ * @param p95 95th percentile
+ * @param p99 99th percentile
+ * @param max longest
+ * @param bareP95 95th percentile of what the same prompts take on an idle engine
+ * @param excessP95 95th percentile of what each prompt took beyond an idle engine's time
+ */
+public record BandFigures(
+        String phase,
+        String band,
+        long count,
+        double p50,
+        double p95,
+        double p99,
+        double max,
+        double bareP95,
+        double excessP95) {
+    private static final long LONGEST_MICROS = 600_000_000L;
+    private static final int DIGITS = 3;
+    private static final double MICROS_PER_MILLI = 1_000;
+
+    /**
+     * Works out the figures.
+     *
+     * @param phase the phase
+     * @param band the band
+     * @param results prompts of that phase and band that got a first token
+     * @param bare gives the time of an idle engine
+     * @return the figures
+     */
+    static BandFigures of(String phase, LengthBand band, List<CallResult> results, BareEngine bare) {
+        Histogram total = histogram();
+        Histogram idle = histogram();
+        Histogram excess = histogram();
+        for (CallResult result : results) {
+            double floor = bare.firstTokenMillis(result.arrival().promptTokens());
+            record(total, result.firstMillis());
+            record(idle, floor);
+            record(excess, result.firstMillis() - floor);
+        }
+        return new BandFigures(
+                phase,
+                band.word(),
+                total.getTotalCount(),
+                millis(total, 50),
+                millis(total, 95),
+                millis(total, 99),
+                millis(total, 100),
+                millis(idle, 95),
+                millis(excess, 95));
+    }
+
+    private static Histogram histogram() {
+        return new Histogram(LONGEST_MICROS, DIGITS);
+    }
+
+    private static void record(Histogram histogram, double millis) {
+        long micros = Math.round(Math.max(0, millis) * MICROS_PER_MILLI);
+        histogram.recordValue(Math.min(LONGEST_MICROS, micros));
+    }
+
+    private static double millis(Histogram histogram, double percentile) {
+        return histogram.getValueAtPercentile(percentile) / MICROS_PER_MILLI;
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/endivehold/bench/measure/PolicyReport.java
@@ -0,0 +1,149 @@
+package org.endivehold.bench.measure;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.HdrHistogram.Histogram;
+import org.endivehold.bench.caller.CallResult;
+import org.endivehold.bench.caller.Outcome;
+import org.endivehold.bench.experiment.Mark;
+import org.endivehold.bench.experiment.PolicyRun;
+import org.endivehold.bench.workload.Arrival;
+import org.endivehold.bench.workload.LengthBand;
+import org.endivehold.standin.store.StoreCalls;
+
+/**
+ * The figures of one policy.
+ *
+ * @param policy its name
+ * @param requests requests that were sent
+ * @param outcomes how many ended in which way
+ * @param errors how many ended with which error
+ * @param phases requests and those served, interactive only, by phase
+ * @param bands time to first token by phase and length
+ * @param senderLagP99 99th percentile of how late the load tool sent, in milliseconds
+ * @param storeCalls calls to the key-value service during the workload
+ * @param storeWritesPerSecond writes to it
+ * @param marks when disturbances took place
+ * @param violations invariants that did not hold
+ */
+public record PolicyReport(
+        String policy,
+        int requests,
+        Map<Outcome, Long> outcomes,
+        Map<String, Long> errors,
+        List<PhaseCount> phases,
+        List<BandFigures> bands,
+        double senderLagP99,
+        StoreCalls storeCalls,
+        double storeWritesPerSecond,
+        List<Mark> marks,
+        List<Violation> violations) {
+    private static final double MILLIS_PER_SECOND = 1_000;
+    private static final double MICROS_PER_MILLI = 1_000;
+
+    /**
+     * Interactive requests of one phase.
+     *
+     * @param phase the phase
+     * @param interactive generations for which a person waits
+     * @param served those that got their whole answer
+     */
+    public record PhaseCount(String phase, long interactive, long served) {
+        /**
+         * Returns the part that was served.
+         *
+         * @return between 0 and 1; 1 if there were none
+         */
+        public double share() {
+            return interactive == 0 ? 1 : (double) served / interactive;
+        }
+    }
+
+    /**
+     * Works out the figures.
+     *
+     * @param run what was seen
+     * @param phases names of the phases
+     * @param bare gives the time of an idle engine
+     * @param violations invariants that did not hold
+     * @return the report
+     */
+    public static PolicyReport of(PolicyRun run, List<String> phases, BareEngine bare, List<Violation> violations) {
+        Map<Outcome, Long> outcomes = new EnumMap<>(Outcome.class);
+        Map<String, Long> errors = new TreeMap<>();
+        Histogram lag = new Histogram(3);
+        for (CallResult result : run.results()) {
+            outcomes.merge(result.outcome(), 1L, Long::sum);
+            if (!result.error().isEmpty()) {
+                errors.merge(result.outcome() + " " + result.error(), 1L, Long::sum);
+            }
+            lag.recordValue(Math.max(0, Math.round(result.sentMillis() * MICROS_PER_MILLI)));
+        }
+        List<BandFigures> bands = new ArrayList<>();
+        List<PhaseCount> counts = new ArrayList<>();
+        for (String phase : phases) {
+            counts.add(count(run, phase));
+            for (LengthBand band : LengthBand.values()) {
+                bands.add(BandFigures.of(phase, band, firstTokens(run, phase, band), bare));
+            }
+        }
+        return new PolicyReport(
+                run.policy().word(),
+                run.results().size(),
+                outcomes,
+                errors,
+                counts,
+                bands,
+                lag.getValueAtPercentile(99) / MICROS_PER_MILLI,
+                run.storeCalls(),
+                run.storeCalls().writes() * MILLIS_PER_SECOND / run.millis(),
+                run.marks(),
+                violations);
+    }
+
+    /**
+     * Finds the figures of a phase and a band.
+     *
+     * @param phase the phase
+     * @param band the band
+     * @return the figures, if any prompt of that kind got a first token
+     */
+    public Optional<BandFigures> band(String phase, LengthBand band) {
+        return bands.stream()
+                .filter(b -> b.phase().equals(phase) && b.band().equals(band.word()) && b.count() > 0)
+                .findFirst();
+    }
+
+    /**
+     * Finds the counts of a phase.
+     *
+     * @param phase the phase
+     * @return the counts, if there is such a phase
+     */
+    public Optional<PhaseCount> phase(String phase) {
+        return phases.stream().filter(p -> p.phase().equals(phase)).findFirst();
+    }
+
+    private static boolean isInteractive(CallResult result, String phase) {
+        return result.arrival().kind() == Arrival.Kind.INTERACTIVE
+                && result.arrival().phase().equals(phase);
+    }
+
+    private static List<CallResult> firstTokens(PolicyRun run, String phase, LengthBand band) {
+        return run.results().stream()
+                .filter(r -> isInteractive(r, phase) && r.firstMillis() >= 0)
+                .filter(r -> LengthBand.of(r.arrival().promptTokens()) == band)
+                .toList();
+    }
+
+    private static PhaseCount count(PolicyRun run, String phase) {
+        List<CallResult> all =
+                run.results().stream().filter(r -> isInteractive(r, phase)).toList();
+        long served = all.stream().filter(r -> r.outcome() == Outcome.SERVED).count();
+        return new PhaseCount(phase, all.size(), served);
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/endivehold/bench/measure/ReportFiles.java
@@ -0,0 +1,82 @@
+package org.endivehold.bench.measure;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.endivehold.bench.workload.LengthBand;
+import org.endivehold.bench.workload.Phase;
+import org.endivehold.error.EndiveholdException;
+import org.endivehold.error.ErrorType;
+import org.knowm.xchart.BitmapEncoder;
+import org.knowm.xchart.CategoryChart;
+import org.knowm.xchart.CategoryChartBuilder;
+
+/** Writes a report as JSON and as a picture. */
+public final class ReportFiles {
+    private static final ObjectMapper MAPPER = new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT);
+    private static final int WIDTH = 800;
+    private static final int HEIGHT = 450;
+
+    private ReportFiles() {}
+
+    /**
+     * Writes a record as JSON.
+     *
+     * @param file the file
+     * @param report the record
+     * @throws EndiveholdException of type {@code INTERNAL} if the file cannot be written
+     */
+    public static void json(Path file, Object report) throws EndiveholdException {
+        try {
+            Files.createDirectories(file.toAbsolutePath().getParent());
+            MAPPER.writeValue(file.toFile(), report);
+        } catch (IOException e) {
+            throw new EndiveholdException(ErrorType.INTERNAL, "cannot write " + file).causedBy(e);
+        }
+    }
+
+    /**
+     * Writes the time to first token by length and policy as a picture.
+     *
+     * @param file the PNG file
+     * @param report the report
+     * @throws EndiveholdException of type {@code INTERNAL} if the file cannot be written
+     */
+    public static void picture(Path file, ExperimentReport report) throws EndiveholdException {
+        CategoryChart chart = new CategoryChartBuilder()
+                .width(WIDTH)
+                .height(HEIGHT)
+                .title(report.experiment() + " at " + report.size() + ": p95 time to first token")
+                .xAxisTitle("prompt tokens")
+                .yAxisTitle("ms")
+                .build();
+        chart.getStyler().setYAxisLogarithmic(true);
+        for (PolicyReport policy : report.policies()) {
+            add(chart, policy, phase(policy));
+        }
+        try {
+            BitmapEncoder.saveBitmap(chart, file.toString(), BitmapEncoder.BitmapFormat.PNG);
+        } catch (IOException e) {
+            throw new EndiveholdException(ErrorType.INTERNAL, "cannot write " + file).causedBy(e);
+        }
+    }
+
+    private static String phase(PolicyReport policy) {
+        return policy.phase(Phase.SURGE).isPresent() ? Phase.SURGE : "out";
+    }
+
+    private static void add(CategoryChart chart, PolicyReport policy, String phase) {
+        List<String> names = new ArrayList<>();
+        List<Double> values = new ArrayList<>();
+        for (LengthBand band : LengthBand.values()) {
+            names.add(band.word());
+            values.add(
+                    Math.max(1, policy.band(phase, band).map(BandFigures::p95).orElse(1.0)));
+        }
+        chart.addSeries(policy.policy() + " (" + phase + ")", names, values);
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/endivehold/bench/measure/package-info.java
@@ -0,0 +1,2 @@
+/** Figures, invariants and reports of an experiment. */
+package org.endivehold.bench.measure;
--- /dev/null
+++ b/bench/src/main/java/org/endivehold/bench/workload/LengthBand.java
@@ -0,0 +1,45 @@
+package org.endivehold.bench.workload;
+
+/** Bands of prompt lengths in which figures are given. */
+public enum LengthBand {
+    /** Up to 4,096 tokens. */
+    K1_K4("1k-4k", 4_096),
+    /** Up to 16,384 tokens. */
+    K4_K16("4k-16k", 16_384),
+    /** Up to 100,000 tokens. */
+    K16_K100("16k-100k", 100_000),
+    /** More than 100,000 tokens. */
+    K100_M1("100k-1M", Long.MAX_VALUE);
+
+    private final String word;
+    private final long maxTokens;
+
+    LengthBand(String word, long maxTokens) {
+        this.word = word;
+        this.maxTokens = maxTokens;
+    }
+
+    /**
+     * Finds the band of a length.
+     *
+     * @param tokens length in tokens
+     * @return the band
+     */
+    public static LengthBand of(long tokens) {
+        for (LengthBand band : values()) {
+            if (tokens <= band.maxTokens) {
+                return band;
+            }
+        }
+        return K100_M1;
+    }
+
+    /**
+     * Returns the word used in tables.
+     *
+     * @return the bounds
+     */
+    public String word() {
+        return word;
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/endivehold/bench/workload/package-info.java
@@ -0,0 +1,2 @@
+/** What the callers of an experiment ask for, and when. */
+package org.endivehold.bench.workload;
--- a/daemon/src/main/java/org/endivehold/daemon/upstream/EventStreamParser.java
+++ b/daemon/src/main/java/org/endivehold/daemon/upstream/EventStreamParser.java
@@ -10,25 +10,33 @@
 import org.endivehold.misc.UpstreamName;
 
 /** Splits a byte stream into server-sent events, wherever the chunks of the stream are cut. */
-final class EventStreamParser {
+public final class EventStreamParser {
     private static final int MAX_EVENT_BYTES = 1 << 20;
     private static final String EVENT = "event:";
     private static final String DATA = "data:";
+    private static final String ID = "id:";
 
     private final UpstreamName upstream;
     private Buffer rest = Buffer.buffer();
     private String name = "";
+    private String id = "";
     private StringBuilder data = new StringBuilder();
 
     /**
      * One event.
      *
      * @param name its name, empty if it has none
+     * @param id its identifier, empty if it has none
      * @param data its data
      */
-    record Event(String name, String data) {}
+    public record Event(String name, String id, String data) {}
 
-    EventStreamParser(UpstreamName upstream) {
+    /**
+     * Creates a parser.
+     *
+     * @param upstream who sends the stream, for errors
+     */
+    public EventStreamParser(UpstreamName upstream) {
         this.upstream = upstream;
     }
 
@@ -39,7 +47,7 @@
      * @return the events that are complete now, in order
      * @throws EndiveholdException of type {@code UPSTREAM_PROTOCOL} if an event exceeds the bound
      */
-    List<Event> feed(Buffer chunk) throws EndiveholdException {
+    public List<Event> feed(Buffer chunk) throws EndiveholdException {
         Buffer bytes = rest.length() == 0 ? chunk : rest.appendBuffer(chunk);
         List<Event> events = new ArrayList<>();
         int from = 0;
@@ -61,14 +69,17 @@
         String line = raw.endsWith("\r") ? raw.substring(0, raw.length() - 1) : raw;
         if (line.startsWith(EVENT)) {
             name = line.substring(EVENT.length()).strip();
+        } else if (line.startsWith(ID)) {
+            id = line.substring(ID.length()).strip();
         } else if (line.startsWith(DATA)) {
             data.append(data.length() == 0 ? "" : "\n")
                     .append(line.substring(DATA.length()).strip());
         } else if (line.isEmpty()) {
             if (data.length() > 0) {
-                events.add(new Event(name, data.toString()));
+                events.add(new Event(name, id, data.toString()));
             }
             name = "";
+            id = "";
             data = new StringBuilder();
         }
     }
--- a/daemon/src/test/java/org/endivehold/daemon/upstream/EventStreamParserTest.java
+++ b/daemon/src/test/java/org/endivehold/daemon/upstream/EventStreamParserTest.java
@@ -24,6 +24,7 @@
             event: started
             data: {"a":1}
 
+            id: 7
             data: zwölf\r
             \r
             data: one
@@ -33,10 +34,10 @@
 
             """;
     private static final List<EventStreamParser.Event> EVENTS = List.of(
-            new EventStreamParser.Event("started", "{\"a\":1}"),
-            new EventStreamParser.Event("", "zwölf"),
-            new EventStreamParser.Event("", "one\ntwo"),
-            new EventStreamParser.Event("", "[DONE]"));
+            new EventStreamParser.Event("started", "", "{\"a\":1}"),
+            new EventStreamParser.Event("", "7", "zwölf"),
+            new EventStreamParser.Event("", "", "one\ntwo"),
+            new EventStreamParser.Event("", "", "[DONE]"));
 
     private final EventStreamParser parser = new EventStreamParser(new UpstreamName("e1"));
 
