--- a/bench/src/main/java/org/endivehold/bench/measure/ReportFiles.java
+++ b/bench/src/main/java/org/endivehold/bench/measure/ReportFiles.java
@@ -12,8 +12,8 @@
 import org.endivehold.error.EndiveholdException;
 import org.endivehold.error.ErrorType;
 import org.knowm.xchart.BitmapEncoder;
-import org.knowm.xchart.CategoryChart;
-import org.knowm.xchart.CategoryChartBuilder;
+import org.knowm.xchart.XYChart;
+import org.knowm.xchart.XYChartBuilder;
 
 /** Writes a report as JSON and as a picture. */
 public final class ReportFiles {
@@ -47,14 +47,14 @@
      * @throws EndiveholdException of type {@code INTERNAL} if the file cannot be written
      */
     public static void picture(Path file, ExperimentReport report) throws EndiveholdException {
-        CategoryChart chart = new CategoryChartBuilder()
+        XYChart chart = new XYChartBuilder()
                 .width(WIDTH)
                 .height(HEIGHT)
                 .title(report.experiment() + " at " + report.size() + ": p95 time to first token")
-                .xAxisTitle("prompt tokens")
+                .xAxisTitle("prompt tokens, middle of the band")
                 .yAxisTitle("ms")
                 .build();
-        chart.getStyler().setYAxisLogarithmic(true);
+        chart.getStyler().setXAxisLogarithmic(true).setYAxisLogarithmic(true);
         for (PolicyReport policy : report.policies()) {
             add(chart, policy, phase(policy));
         }
@@ -69,14 +69,17 @@
         return policy.phase(Phase.SURGE).isPresent() ? Phase.SURGE : "out";
     }
 
-    private static void add(CategoryChart chart, PolicyReport policy, String phase) {
-        List<String> names = new ArrayList<>();
+    private static void add(XYChart chart, PolicyReport policy, String phase) {
+        List<Double> tokens = new ArrayList<>();
         List<Double> values = new ArrayList<>();
         for (LengthBand band : LengthBand.values()) {
-            names.add(band.word());
-            values.add(
-                    Math.max(1, policy.band(phase, band).map(BandFigures::p95).orElse(1.0)));
+            policy.band(phase, band).ifPresent(figures -> {
+                tokens.add(band.middleTokens());
+                values.add(Math.max(1, figures.p95()));
+            });
+        }
+        if (!tokens.isEmpty()) {
+            chart.addSeries(policy.policy() + " (" + phase + ")", tokens, values);
         }
-        chart.addSeries(policy.policy() + " (" + phase + ")", names, values);
     }
 }
--- a/bench/src/main/java/org/endivehold/bench/workload/LengthBand.java
+++ b/bench/src/main/java/org/endivehold/bench/workload/LengthBand.java
@@ -3,20 +3,22 @@
 /** Bands of prompt lengths in which figures are given. */
 public enum LengthBand {
     /** Up to 4,096 tokens. */
-    K1_K4("1k-4k", 4_096),
+    K1_K4("1k-4k", 4_096, 2_000),
     /** Up to 16,384 tokens. */
-    K4_K16("4k-16k", 16_384),
+    K4_K16("4k-16k", 16_384, 8_000),
     /** Up to 100,000 tokens. */
-    K16_K100("16k-100k", 100_000),
+    K16_K100("16k-100k", 100_000, 40_000),
     /** More than 100,000 tokens. */
-    K100_M1("100k-1M", Long.MAX_VALUE);
+    K100_M1("100k-1M", Long.MAX_VALUE, 316_000);
 
     private final String word;
     private final long maxTokens;
+    private final double middleTokens;
 
-    LengthBand(String word, long maxTokens) {
+    LengthBand(String word, long maxTokens, double middleTokens) {
         this.word = word;
         this.maxTokens = maxTokens;
+        this.middleTokens = middleTokens;
     }
 
     /**
@@ -42,4 +44,13 @@
     public String word() {
         return word;
     }
+
+    /**
+     * Returns the geometric middle of the band.
+     *
+     * @return tokens
+     */
+    public double middleTokens() {
+        return middleTokens;
+    }
 }
