--- a/daemon/src/main/java/org/endivehold/daemon/Daemon.java
+++ b/daemon/src/main/java/org/endivehold/daemon/Daemon.java
@@ -3,15 +3,19 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
+import java.util.function.Supplier;
 import org.apache.commons.rng.simple.RandomSource;
 import org.endivehold.daemon.config.ConfigurationService;
+import org.endivehold.daemon.config.ConfigurationSpread;
 import org.endivehold.daemon.grant.CapacityService;
 import org.endivehold.daemon.http.CallerFront;
 import org.endivehold.daemon.kernel.Kernel;
 import org.endivehold.daemon.ledger.LedgerService;
 import org.endivehold.daemon.membership.MembershipService;
+import org.endivehold.daemon.operator.OperatorPort;
 import org.endivehold.daemon.peer.TcpPeerTransport;
 import org.endivehold.daemon.platform.EtcdStore;
 import org.endivehold.daemon.platform.HttpHostList;
@@ -22,10 +26,14 @@
 import org.endivehold.daemon.upstream.UpstreamService;
 import org.endivehold.error.ErrorManager;
 import org.endivehold.misc.Incarnation;
+import org.endivehold.misc.LogEvent;
 import org.endivehold.misc.Ticker;
+import org.jboss.logging.Logger;
 
 /** One daemon: its Vert.x instance, its context and its services. Several may run in one JVM. */
 public final class Daemon {
+    private static final Logger log = Logger.getLogger(Daemon.class);
+
     private final DaemonContext context;
     private final Kernel kernel = new Kernel();
 
@@ -57,7 +65,10 @@
         kernel.add(new ConfigurationService(context));
         kernel.add(new TcpPeerTransport(context));
         kernel.add(new MembershipService(context));
+        kernel.add(new ConfigurationSpread(context));
+        kernel.add(new OperatorPort(context));
         kernel.add(new CapacityService(context));
+        kernel.add(new GenerationService(context));
         kernel.add(new UpstreamService(context));
         kernel.add(new LedgerService(context));
         kernel.add(new PlainCallService(context));
@@ -89,7 +100,11 @@
      * @return when all run
      */
     public Future<Void> start() {
-        return onLoop(kernel::start);
+        return onLoop(kernel::start).onSuccess(done -> LogEvent.of("daemon-started")
+                .with("host", context.settings().host())
+                .with("zone", context.settings().zone())
+                .with("incarnation", context.incarnation())
+                .info(log));
     }
 
     /**
@@ -98,7 +113,11 @@
      * @return when the daemon has stopped
      */
     public Future<Void> shutdown() {
-        return onLoop(kernel::shutdown).eventually(context.vertx()::close);
+        return onLoop(kernel::shutdown)
+                .onSuccess(done -> LogEvent.of("daemon-stopped")
+                        .with("host", context.settings().host())
+                        .info(log))
+                .eventually(context.vertx()::close);
     }
 
     /**
@@ -110,8 +129,8 @@
         return context.vertx().close();
     }
 
-    private Future<Void> onLoop(java.util.function.Supplier<Future<Void>> step) {
-        io.vertx.core.Promise<Void> promise = io.vertx.core.Promise.promise();
+    private Future<Void> onLoop(Supplier<Future<Void>> step) {
+        Promise<Void> promise = Promise.promise();
         context.vertx().runOnContext(ignored -> step.get().onComplete(promise));
         return promise.future();
     }
