--- a/daemon/src/main/java/org/endivehold/daemon/Daemon.java
+++ b/daemon/src/main/java/org/endivehold/daemon/Daemon.java
@@ -11,6 +11,7 @@
 import org.endivehold.daemon.config.ConfigurationService;
 import org.endivehold.daemon.config.ConfigurationSpread;
 import org.endivehold.daemon.grant.CapacityService;
+import org.endivehold.daemon.grant.GrantService;
 import org.endivehold.daemon.http.CallerFront;
 import org.endivehold.daemon.kernel.Kernel;
 import org.endivehold.daemon.ledger.LedgerService;
@@ -67,6 +68,7 @@
         kernel.add(new MembershipService(context));
         kernel.add(new ConfigurationSpread(context));
         kernel.add(new OperatorPort(context));
+        kernel.add(new GrantService(context));
         kernel.add(new CapacityService(context));
         kernel.add(new GenerationService(context));
         kernel.add(new UpstreamService(context));
--- a/daemon/src/main/java/org/endivehold/daemon/grant/CapacityService.java
+++ b/daemon/src/main/java/org/endivehold/daemon/grant/CapacityService.java
@@ -14,6 +14,7 @@
 import org.endivehold.grant.Capacity;
 import org.endivehold.grant.ConfiguredCapacity;
 import org.endivehold.grant.EqualShareCapacity;
+import org.endivehold.grant.GrantedCapacity;
 import org.endivehold.grant.Permit;
 import org.endivehold.grant.ReservationRequest;
 import org.endivehold.grant.Share;
@@ -46,30 +47,35 @@
 
     @Override
     public Set<String> needs() {
-        return Set.of(ActiveConfiguration.NAME);
+        return Set.of(ActiveConfiguration.NAME, GrantService.NAME);
     }
 
     @Override
     public Future<Void> start(Kernel kernel) {
         try {
-            ConfiguredCapacity selected = select(kernel);
-            kernel.find(ActiveConfiguration.NAME, ActiveConfiguration.class).listen(selected);
-            delegate = selected;
+            delegate = select(kernel);
             return Future.succeededFuture();
         } catch (EndiveholdException e) {
             return Future.failedFuture(e);
         }
     }
 
-    private ConfiguredCapacity select(Kernel kernel) throws EndiveholdException {
+    private Capacity select(Kernel kernel) throws EndiveholdException {
         String policy = context.settings().grants().policy();
         return switch (policy) {
-            case UnlimitedCapacity.NAME -> new UnlimitedCapacity();
-            case EqualShareCapacity.NAME, "granted" -> new EqualShareCapacity(() -> liveDaemons(kernel));
+            case GrantedCapacity.NAME ->
+                kernel.find(GrantService.NAME, GrantService.class).capacity();
+            case UnlimitedCapacity.NAME -> configured(kernel, new UnlimitedCapacity());
+            case EqualShareCapacity.NAME -> configured(kernel, new EqualShareCapacity(() -> liveDaemons(kernel)));
             default -> throw new EndiveholdException(ErrorType.SETTINGS_INVALID, "grants.policy", policy);
         };
     }
 
+    private static Capacity configured(Kernel kernel, ConfiguredCapacity capacity) throws EndiveholdException {
+        kernel.find(ActiveConfiguration.NAME, ActiveConfiguration.class).listen(capacity);
+        return capacity;
+    }
+
     private static int liveDaemons(Kernel kernel) {
         List<LiveHosts> found = kernel.all(LiveHosts.class);
         return found.isEmpty() ? 1 : found.get(0).liveCount();
--- a/daemon/src/main/java/org/endivehold/daemon/membership/MembershipService.java
+++ b/daemon/src/main/java/org/endivehold/daemon/membership/MembershipService.java
@@ -153,6 +153,11 @@
         return listed;
     }
 
+    /** Reads the platform's host list now, unless a reading is under way. */
+    public void readListNow() {
+        readList();
+    }
+
     @Override
     public String statusName() {
         return NAME;
--- a/wire/src/main/java/org/endivehold/wire/MessageCodec.java
+++ b/wire/src/main/java/org/endivehold/wire/MessageCodec.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
 import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -31,7 +32,8 @@
         mapper = new MessagePackMapper()
                 .registerModule(new Jdk8Module())
                 .setSerializationInclusion(JsonInclude.Include.NON_NULL)
-                .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+                .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+                .disable(SerializationFeature.FAIL_ON_EMPTY_BEANS);
         for (MessageType type : MessageType.values()) {
             byCode.put(type.code(), type);
             byKind.put(type.kind(), type);
