Count an exchange out only after its last byte

Cause: bin/try-processes lost the end of the stream in 3 of 7 runs (curl status 18, no [DONE]) when SIGTERM came during it. The sinks ran 'done' before they wrote the end; the front then had nothing in progress, and the shutdown closed the connection. Ruled out: the engine (all 150 tokens had arrived) and the drain limit (60 s). Change: done runs when the response has ended (Ending.after), for streamed and whole answers, refusals and plain calls. Conclusion: a graceful shutdown of a process cuts no stream.

--- a/daemon/src/main/java/org/endivehold/daemon/http/CompletionHandler.java
+++ b/daemon/src/main/java/org/endivehold/daemon/http/CompletionHandler.java
@@ -117,7 +117,6 @@
     }
 
     private static void refuse(Exchange exchange, Throwable failure, Runnable done) {
-        Problem.send(exchange.response(), EndiveholdException.unwrap(failure), exchange.id(), 0);
-        done.run();
+        Ending.after(Problem.send(exchange.response(), EndiveholdException.unwrap(failure), exchange.id(), 0), done);
     }
 }
--- a/daemon/src/main/java/org/endivehold/daemon/http/EventStreamSink.java
+++ b/daemon/src/main/java/org/endivehold/daemon/http/EventStreamSink.java
@@ -64,26 +64,29 @@
 
     @Override
     public void end(StreamEnd end) {
-        if (finish() && !response.closed()) {
-            begin();
-            response.end("data: " + form.last(end).encode() + "\n\ndata: [DONE]\n\n");
+        if (ended) {
+            return;
         }
+        ended = true;
+        begin();
+        Ending.after(response.end("data: " + form.last(end).encode() + "\n\ndata: [DONE]\n\n"), done);
     }
 
     @Override
     public void fail(EndiveholdException failure, long retryAfterMillis) {
-        if (!finish() || response.closed()) {
+        if (ended) {
             return;
         }
+        ended = true;
         if (!response.headWritten()) {
-            Problem.send(response, failure, form.request(), retryAfterMillis);
+            Ending.after(Problem.send(response, failure, form.request(), retryAfterMillis), done);
             return;
         }
         JsonObject document = Problem.document(failure, form.request());
         if (retryAfterMillis > 0) {
             document.put("retryAfterSeconds", Problem.secondsUp(retryAfterMillis));
         }
-        response.end("event: error\ndata: " + document.encode() + "\n\n");
+        Ending.after(response.end("event: error\ndata: " + document.encode() + "\n\n"), done);
     }
 
     private void begin() {
@@ -94,13 +97,4 @@
                     .writeHead();
         }
     }
-
-    private boolean finish() {
-        if (ended) {
-            return false;
-        }
-        ended = true;
-        done.run();
-        return true;
-    }
 }
--- a/daemon/src/main/java/org/endivehold/daemon/http/PlainHandler.java
+++ b/daemon/src/main/java/org/endivehold/daemon/http/PlainHandler.java
@@ -52,8 +52,9 @@
                         return Future.failedFuture(e);
                     }
                 })
-                .onSuccess(answer -> send(exchange, answer))
-                .onFailure(failure -> refuse(exchange, EndiveholdException.unwrap(failure)))
+                .compose(
+                        answer -> send(exchange, answer),
+                        failure -> refuse(exchange, EndiveholdException.unwrap(failure)))
                 .onComplete(ended -> done.run());
     }
 
@@ -84,20 +85,20 @@
         return headers;
     }
 
-    private static void send(Exchange exchange, PlainAnswer answer) {
+    private static Future<Void> send(Exchange exchange, PlainAnswer answer) {
         if (exchange.response().closed()) {
-            return;
+            return Future.succeededFuture();
         }
         answer.headers().forEach((name, value) -> {
             if (PASSED_BACK.contains(name.toLowerCase(java.util.Locale.ROOT))) {
                 exchange.response().putHeader(name, value);
             }
         });
-        exchange.response().setStatusCode(answer.status()).end(Buffer.buffer(answer.body()));
+        return exchange.response().setStatusCode(answer.status()).end(Buffer.buffer(answer.body()));
     }
 
-    private static void refuse(Exchange exchange, EndiveholdException failure) {
+    private static Future<Void> refuse(Exchange exchange, EndiveholdException failure) {
         boolean later = HttpStatus.of(failure.type()) == HttpStatus.UNAVAILABLE;
-        Problem.send(exchange.response(), failure, exchange.id(), later ? UNAVAILABLE_RETRY_MILLIS : 0);
+        return Problem.send(exchange.response(), failure, exchange.id(), later ? UNAVAILABLE_RETRY_MILLIS : 0);
     }
 }
--- a/daemon/src/main/java/org/endivehold/daemon/http/Problem.java
+++ b/daemon/src/main/java/org/endivehold/daemon/http/Problem.java
@@ -1,5 +1,6 @@
 package org.endivehold.daemon.http;
 
+import io.vertx.core.Future;
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.core.json.JsonObject;
 import org.endivehold.error.EndiveholdException;
@@ -42,16 +43,17 @@
      * @param failure the failure
      * @param request the request that failed
      * @param retryAfterMillis advice in milliseconds, 0 for none
+     * @return when the response has ended, or at once if it was sent before
      */
-    public static void send(
+    public static Future<Void> send(
             HttpServerResponse response, EndiveholdException failure, RequestId request, long retryAfterMillis) {
         if (response.ended() || response.closed() || response.headWritten()) {
-            return;
+            return Future.succeededFuture();
         }
         if (retryAfterMillis > 0) {
             response.putHeader("Retry-After", Long.toString(secondsUp(retryAfterMillis)));
         }
-        response.setStatusCode(HttpStatus.of(failure.type()))
+        return response.setStatusCode(HttpStatus.of(failure.type()))
                 .putHeader("Content-Type", MEDIA_TYPE)
                 .end(document(failure, request).toBuffer());
     }
--- a/daemon/src/main/java/org/endivehold/daemon/http/WholeAnswerSink.java
+++ b/daemon/src/main/java/org/endivehold/daemon/http/WholeAnswerSink.java
@@ -27,25 +27,18 @@
 
     @Override
     public void end(StreamEnd end) {
-        if (finish() && !response.closed()) {
-            response.putHeader("Content-Type", "application/json")
-                    .end(form.whole(text.toString(), end).toBuffer());
+        if (!ended) {
+            ended = true;
+            response.putHeader("Content-Type", "application/json");
+            Ending.after(response.end(form.whole(text.toString(), end).toBuffer()), done);
         }
     }
 
     @Override
     public void fail(EndiveholdException failure, long retryAfterMillis) {
-        if (finish()) {
-            Problem.send(response, failure, form.request(), retryAfterMillis);
+        if (!ended) {
+            ended = true;
+            Ending.after(Problem.send(response, failure, form.request(), retryAfterMillis), done);
         }
     }
-
-    private boolean finish() {
-        if (ended) {
-            return false;
-        }
-        ended = true;
-        done.run();
-        return true;
-    }
 }
--- a/daemon/src/test/java/org/endivehold/daemon/http/CallerFrontTest.java
+++ b/daemon/src/test/java/org/endivehold/daemon/http/CallerFrontTest.java
@@ -11,6 +11,7 @@
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.json.JsonObject;
 import io.vertx.core.net.NetSocket;
@@ -20,9 +21,14 @@
 import org.endivehold.daemon.Daemon;
 import org.endivehold.daemon.DaemonContext;
 import org.endivehold.daemon.kernel.Kernel;
+import org.endivehold.daemon.request.AnswerSink;
 import org.endivehold.daemon.settings.Settings;
 import org.endivehold.daemon.settings.SettingsReader;
 import org.endivehold.daemon.settings.TestSettings;
+import org.endivehold.error.EndiveholdException;
+import org.endivehold.error.ErrorType;
+import org.endivehold.misc.ModelName;
+import org.endivehold.misc.RequestId;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -227,6 +233,32 @@
         await(stopped.future());
     }
 
+    @ParameterizedTest
+    @CsvSource({"true, true", "true, false", "false, true", "false, false"})
+    void countsOutOnlyAfterTheLastByte(boolean streamed, boolean succeeds) throws Exception {
+        Promise<Boolean> endedWhenCountedOut = Promise.promise();
+        HttpServer server = await(context.vertx()
+                .createHttpServer()
+                .requestHandler(http -> {
+                    Runnable done =
+                            () -> endedWhenCountedOut.complete(http.response().ended());
+                    AnswerForm form = new AnswerForm(new RequestId("r1"), new ModelName("m"), false);
+                    AnswerSink sink = streamed
+                            ? new EventStreamSink(http.response(), form, done)
+                            : new WholeAnswerSink(http.response(), form, done);
+                    if (succeeds) {
+                        FakeRunners.Generation.finish(sink);
+                    } else {
+                        sink.fail(new EndiveholdException(ErrorType.QUEUE_FULL, "interactive"), 1);
+                    }
+                })
+                .listen(0, "127.0.0.1"));
+        await(client.request(HttpMethod.GET, server.actualPort(), "127.0.0.1", "/")
+                .compose(request -> request.send())
+                .compose(HttpClientResponse::body));
+        assertTrue(await(endedWhenCountedOut.future()));
+    }
+
     @Test
     void fetchesTheRest() throws Exception {
         String auth = "Bearer " + FakeRunners.KEY;
