--- a/core/src/main/java/org/endivehold/grant/Grantor.java
+++ b/core/src/main/java/org/endivehold/grant/Grantor.java
@@ -333,7 +333,7 @@
             if (allocation == null || missing <= 0) {
                 continue;
             }
-            long part = request.mayBeSplit() ? Math.min(missing, allocation.partTokens()) : missing;
+            long part = request.mayBeSplit() ? allocation.splitPart(missing) : missing;
             Optional<Reservation> one = allocation.reserve(holder, number, part, ++serial);
             if (one.isPresent()) {
                 made.add(one.get());
--- a/core/src/main/java/org/endivehold/grant/UpstreamAllocation.java
+++ b/core/src/main/java/org/endivehold/grant/UpstreamAllocation.java
@@ -196,7 +196,9 @@
         }
         Reservation made = new Reservation(group, epoch, serial, upstream.name(), memoryTokens);
         account(owner).reserve(made, number);
-        setAsideUntil = Long.MIN_VALUE;
+        if (setAside.memoryTokens() <= memoryTokens) {
+            setAsideUntil = Long.MIN_VALUE;
+        }
         targetsAt = Long.MIN_VALUE;
         return Optional.of(made);
     }
@@ -208,9 +210,14 @@
         targetsAt = Long.MIN_VALUE;
     }
 
-    /** Returns the largest part of a divided prompt that one engine takes. */
-    long partTokens() {
-        return free().memoryTokens() > 0 ? free().memoryTokens() : upstream.memoryTokens() / 2;
+    /** Returns the part of a divided prompt to try for: what is free, or else as much as the engine can ever take. */
+    long splitPart(long missing) {
+        long most = Math.min(missing, upstream.memoryTokens());
+        long free = free().slots() == 0 ? 0 : Math.min(most, free().memoryTokens());
+        if (free < most) {
+            setAside(new Amount(1, most));
+        }
+        return free > 0 ? free : most;
     }
 
     /** Returns what no account may be using. */
--- a/daemon/src/main/java/org/endivehold/daemon/grant/GrantService.java
+++ b/daemon/src/main/java/org/endivehold/daemon/grant/GrantService.java
@@ -123,7 +123,8 @@
     private void assemble() {
         server = new GrantServer(context, messenger, grantors, table);
         client = new GrantClient(context, messenger, holder, groups, table, grantors);
-        ReservationClient reservations = new ReservationClient(context, messenger, holder, groups, table);
+        ReservationClient reservations =
+                new ReservationClient(context, messenger, holder, groups, table, client::renewSoon);
         capacity = new GrantedCapacity(holder, reservations::reserve, client::renewSoon, context.ticker());
         messenger.handle(GrantorsRequest.class, (from, r) -> Future.succeededFuture(new GrantorsAnswer(table.all())));
     }
--- a/daemon/src/main/java/org/endivehold/daemon/grant/ReservationClient.java
+++ b/daemon/src/main/java/org/endivehold/daemon/grant/ReservationClient.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.TreeMap;
 import java.util.concurrent.CompletionStage;
+import java.util.function.Consumer;
 import org.endivehold.daemon.DaemonContext;
 import org.endivehold.error.EndiveholdException;
 import org.endivehold.error.ErrorType;
@@ -34,18 +35,21 @@
     private final GrantHolder holder;
     private final GrantGroups groups;
     private final GrantorTable table;
+    private final Consumer<UpstreamName> renewSoon;
 
     ReservationClient(
             DaemonContext context,
             GrantMessenger messenger,
             GrantHolder holder,
             GrantGroups groups,
-            GrantorTable table) {
+            GrantorTable table,
+            Consumer<UpstreamName> renewSoon) {
         this.context = context;
         this.messenger = messenger;
         this.holder = holder;
         this.groups = groups;
         this.table = table;
+        this.renewSoon = renewSoon;
     }
 
     CompletionStage<List<Reservation>> reserve(ReservationRequest request) {
@@ -76,6 +80,7 @@
         return chain.compose(done -> {
             if (missing(request, made) > 0) {
                 made.forEach(holder::close);
+                request.candidates().forEach(renewSoon);
                 return Future.failedFuture(
                         new EndiveholdException(ErrorType.RESERVATION_REFUSED, request.memoryTokens()));
             }
