--- /dev/null
+++ b/bench/src/main/java/org/endivehold/bench/slope/Slopes.java
@@ -0,0 +1,164 @@
+package org.endivehold.bench.slope;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.apache.commons.rng.simple.RandomSource;
+import org.endivehold.bench.slope.Slope.Point;
+import org.endivehold.config.Configuration;
+import org.endivehold.config.ConfigurationReader;
+import org.endivehold.config.ConfigurationWriter;
+import org.endivehold.config.RequestClass;
+import org.endivehold.config.Upstream;
+import org.endivehold.error.EndiveholdException;
+import org.endivehold.membership.Heartbeat;
+import org.endivehold.membership.MembershipFleet;
+import org.endivehold.membership.MembershipTimings;
+import org.endivehold.misc.UpstreamName;
+import org.endivehold.misc.ZoneName;
+import org.endivehold.placement.Candidate;
+import org.endivehold.placement.LeastPredictedTime;
+import org.endivehold.placement.PlacementRequest;
+import org.endivehold.wire.HeartbeatMessage;
+import org.endivehold.wire.MessageCodec;
+
+/** Measures the slopes. */
+public final class Slopes {
+    private static final int[] UPSTREAMS = {19, 200, 1_000};
+    private static final int[] DAEMONS = {8, 50, 400};
+    private static final int[] OBJECTS = {100, 400, 1_600};
+    private static final long JOIN_MILLIS = 60_000;
+    private static final long MEASURE_MILLIS = 20_000;
+    private static final double MILLIS_PER_SECOND = 1_000;
+    private static final MembershipTimings TIMINGS = new MembershipTimings(500, 200, 3, 4);
+
+    private final Configuration example;
+    private final Consumer<String> progress;
+
+    /**
+     * Creates the measurements.
+     *
+     * @param example a configuration to grow
+     * @param progress takes a line of text per slope
+     */
+    public Slopes(Configuration example, Consumer<String> progress) {
+        this.example = example;
+        this.progress = progress;
+    }
+
+    /**
+     * Measures all.
+     *
+     * @return the slopes
+     * @throws EndiveholdException if a step fails
+     */
+    public List<Slope> measure() throws EndiveholdException {
+        List<Slope> slopes = new ArrayList<>();
+        slopes.add(placement());
+        slopes.add(configuration("configuration digest", c -> ConfigurationWriter.digest(c)));
+        slopes.add(configuration("configuration read and check", c -> {
+            byte[] json = ConfigurationWriter.canonical(c);
+            return ConfigurationReader.readDocument("bench", json).orThrow();
+        }));
+        slopes.addAll(membership());
+        slopes.forEach(s -> progress.accept(s.toString()));
+        return slopes;
+    }
+
+    private Slope placement() throws EndiveholdException {
+        List<Point> points = new ArrayList<>();
+        for (int count : UPSTREAMS) {
+            List<Candidate> candidates = candidates(count);
+            LeastPredictedTime policy = new LeastPredictedTime(RandomSource.XO_RO_SHI_RO_128_PP.create(1));
+            PlacementRequest request = new PlacementRequest(8_000, 100, RequestClass.INTERACTIVE, false);
+            points.add(new Point(count, Stopwatch.micros(() -> policy.choose(request, candidates))));
+        }
+        return Slope.fit("placement decision", "upstreams", "microseconds", points);
+    }
+
+    private static List<Candidate> candidates(int count) {
+        List<Candidate> candidates = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            UpstreamName name = new UpstreamName("engine-" + i);
+            ZoneName zone = new ZoneName("zone-" + i % 3);
+            candidates.add(new Candidate(name, zone, 8, 100_000, i % 7, i * 991L % 50_000, 40_000, 0, 1, true));
+        }
+        return candidates;
+    }
+
+    /** Uses a configuration. */
+    @FunctionalInterface
+    private interface Use {
+        Object of(Configuration configuration) throws EndiveholdException;
+    }
+
+    private Slope configuration(String name, Use use) throws EndiveholdException {
+        List<Point> points = new ArrayList<>();
+        for (int count : OBJECTS) {
+            Configuration grown = grow(count);
+            points.add(new Point(count, Stopwatch.micros(() -> use.of(grown))));
+        }
+        return Slope.fit(name, "upstream objects", "microseconds", points);
+    }
+
+    private Configuration grow(int count) {
+        Upstream pattern = example.upstreams().values().iterator().next();
+        TreeMap<UpstreamName, Upstream> upstreams = new TreeMap<>(example.upstreams());
+        for (int i = upstreams.size(); i < count; i++) {
+            UpstreamName name = new UpstreamName("grown-" + i);
+            upstreams.put(
+                    name,
+                    new Upstream(
+                            name,
+                            pattern.kind(),
+                            pattern.zone(),
+                            "10.1." + i / 250 + "." + (1 + i % 250),
+                            pattern.port(),
+                            pattern.state(),
+                            Set.copyOf(pattern.versions()),
+                            pattern.slots(),
+                            pattern.coldSlots(),
+                            pattern.memoryTokens(),
+                            pattern.prefillTokensPerSecond(),
+                            pattern.checksFencing()));
+        }
+        return new Configuration(
+                example.models(),
+                example.versions(),
+                example.adapters(),
+                example.routes(),
+                example.customers(),
+                example.zones(),
+                upstreams);
+    }
+
+    private List<Slope> membership() {
+        List<Point> messages = new ArrayList<>();
+        List<Point> bytes = new ArrayList<>();
+        MessageCodec codec = new MessageCodec();
+        for (int count : DAEMONS) {
+            MembershipFleet fleet = new MembershipFleet(count, TIMINGS, new MembershipFleet.Network(0, 1, 5), 1)
+                    .sizes(heartbeat -> size(codec, heartbeat));
+            fleet.run(JOIN_MILLIS);
+            long messagesBefore = fleet.messages();
+            long bytesBefore = fleet.bytes();
+            fleet.run(MEASURE_MILLIS);
+            double perSecond = MILLIS_PER_SECOND / MEASURE_MILLIS / count;
+            messages.add(new Point(count, (fleet.messages() - messagesBefore) * perSecond));
+            bytes.add(new Point(count, (fleet.bytes() - bytesBefore) * perSecond));
+        }
+        return List.of(
+                Slope.fit("membership messages sent per daemon", "daemons", "per second", messages),
+                Slope.fit("membership bytes sent per daemon", "daemons", "bytes per second", bytes));
+    }
+
+    private static int size(MessageCodec codec, Heartbeat heartbeat) {
+        try {
+            return codec.encode(0, new HeartbeatMessage(heartbeat)).length;
+        } catch (EndiveholdException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/endivehold/bench/slope/package-info.java
@@ -0,0 +1,2 @@
+/** How the cost of each part grows with its size. */
+package org.endivehold.bench.slope;
