--- a/daemon/src/main/java/org/endivehold/daemon/upstream/UpstreamCalls.java
+++ b/daemon/src/main/java/org/endivehold/daemon/upstream/UpstreamCalls.java
@@ -47,11 +47,16 @@
 
     /** Opens a connection for a call; no byte has been sent when this fails. */
     Future<HttpClientRequest> open(HttpMethod method, String path) {
-        return client.request(new RequestOptions()
-                .setHost(address)
-                .setPort(port)
-                .setMethod(method)
-                .setURI(path));
+        try {
+            return client.request(new RequestOptions()
+                    .setHost(address)
+                    .setPort(port)
+                    .setMethod(method)
+                    .setURI(path));
+        } catch (IllegalStateException e) {
+            // A closed client throws in place of failing the future.
+            return Future.failedFuture(e);
+        }
     }
 
     /**
--- a/daemon/src/test/java/org/endivehold/daemon/upstream/HttpEngineContractTest.java
+++ b/daemon/src/test/java/org/endivehold/daemon/upstream/HttpEngineContractTest.java
@@ -73,7 +73,10 @@
     }
 
     private Engine adapter(int port) {
-        HttpClient client = vertx.createHttpClient(new PoolOptions().setHttp1MaxSize(16));
+        return adapter(port, vertx.createHttpClient(new PoolOptions().setHttp1MaxSize(16)));
+    }
+
+    private Engine adapter(int port, HttpClient client) {
         return new HttpEngine(
                 vertx,
                 client,
@@ -316,4 +319,17 @@
         }
         assertEquals(1, await(engine.cacheEvents(3)).size());
     }
+
+    @Test
+    void reportsNotRunOnceItsConnectionsAreClosed() throws Exception {
+        HttpClient client = vertx.createHttpClient(new PoolOptions().setHttp1MaxSize(1));
+        Engine closed = adapter(standin.port(), client);
+        await(client.close().toCompletionStage());
+        assertEquals(ErrorType.UPSTREAM_UNREACHABLE, failure(closed.load()).type());
+        Collector collector = new Collector();
+        closed.start(request("z1", "prompt", 1), collector);
+        EndiveholdException failure = failure(collector.end);
+        assertEquals(ErrorType.UPSTREAM_UNREACHABLE, failure.type());
+        assertEquals(RunOutcome.NO, failure.run());
+    }
 }
