--- a/daemon/src/main/java/org/endivehold/daemon/operator/OperatorPort.java
+++ b/daemon/src/main/java/org/endivehold/daemon/operator/OperatorPort.java
@@ -1,5 +1,6 @@
 package org.endivehold.daemon.operator;
 
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.vertx.core.Future;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
@@ -146,6 +147,7 @@
         router.get("/v1/history").handler(answer(call -> configurations.history()));
         router.get("/v1/status").handler(answer(call -> Future.succeededFuture(statuses.collect(false))));
         router.get("/v1/fleet").handler(answer(this::fleet));
+        router.get("/metrics").handler(this::metrics);
         router.get("/v1/trace/:request").handler(answer(this::trace));
         router.route().failureHandler(this::failed);
         router.errorHandler(HttpStatus.NOT_FOUND, call -> fail(call, ErrorType.OPERATOR_REQUEST, "no such path"));
@@ -160,6 +162,14 @@
         }
     }
 
+    /** Serves the metrics in the Prometheus text format. */
+    private void metrics(RoutingContext call) {
+        String text = context.meters() instanceof PrometheusMeterRegistry registry ? registry.scrape() : "";
+        call.response()
+                .putHeader("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+                .end(text);
+    }
+
     private io.vertx.core.Handler<RoutingContext> answer(Function<RoutingContext, Future<JsonObject>> handler) {
         return call -> handler.apply(call).onComplete(done -> {
             if (done.succeeded()) {
