--- a/daemon/src/main/java/org/endivehold/daemon/request/PlainCallRun.java
+++ b/daemon/src/main/java/org/endivehold/daemon/request/PlainCallRun.java
@@ -3,8 +3,10 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import org.endivehold.admission.RetryBudget;
 import org.endivehold.daemon.DaemonContext;
 import org.endivehold.daemon.ledger.ClaimOutcome;
@@ -36,6 +38,9 @@
     /** Time after which an upstream that did not answer counts as done with the call, in milliseconds. */
     private static final long LINGER_MILLIS = 2_000;
 
+    /** Header by which the service, too, can tell repeated calls. */
+    private static final String IDEMPOTENCY_KEY = "Idempotency-Key";
+
     private final DaemonContext context;
     private final UpstreamDirectory upstreams;
     private final LedgerService ledger;
@@ -143,7 +148,9 @@
 
     private Future<PlainAnswer> call(UpstreamName upstream, long timeoutMillis) {
         PlainCall call = request.call();
-        PlainCall timed = new PlainCall(call.method(), call.path(), call.headers(), call.body(), timeoutMillis);
+        Map<String, String> headers = new TreeMap<>(call.headers());
+        request.idempotencyKey().ifPresent(key -> headers.put(IDEMPOTENCY_KEY, key));
+        PlainCall timed = new PlainCall(call.method(), call.path(), headers, call.body(), timeoutMillis);
         Promise<PlainAnswer> answer = Promise.promise();
         long timer = context.vertx().setTimer(timeoutMillis + ADAPTER_GRACE_MILLIS, fired -> {
             answer.tryFail(
--- a/spec/residual.pml
+++ b/spec/residual.pml
@@ -9,7 +9,7 @@
  *
  * A grant that has expired leaves its holder the residual slots, without bound in time.
  *
- * With PROMPT, statements are not late.
+ * With PROMPT, statements are not late, and reports tell of the boot and of warmth only.
  *
  * Variants, each of which breaks the property:
  *   FORGET_STREAMS    the grantor counts an expired grant as free although its streams may still run
@@ -173,7 +173,9 @@
 		residual[h] = 0;
 #endif
 		expired[h] = true;
+#ifndef PROMPT
 		settled[h] = true;
+#endif
 #ifndef EARLY_REPORT
 		reportCounts[h] = false
 #endif
@@ -205,12 +207,15 @@
 		reportSent = true;
 		reportBoot = boot;
 		reportWarm = warm;
+#ifdef PROMPT
+#elif defined(EARLY_REPORT)
 		reportFlying[0] = FLYING(0);
 		reportFlying[1] = FLYING(1);
-#ifdef EARLY_REPORT
 		reportCounts[0] = true;
 		reportCounts[1] = true
 #else
+		reportFlying[0] = FLYING(0);
+		reportFlying[1] = FLYING(1);
 		reportCounts[0] = settled[0];
 		reportCounts[1] = settled[1]
 #endif
