Wait in a takeover for processes, the predecessor's host, and the last answer

Cause: reading the code against spec/grant.pml showed three rules of the model that the Java takeover lacked (variants ANSWER_BY_HOST, RESTART_STATES and NO_STATEMENT, which Spin refutes): an answer counted for a host, so a process started after it could hold shares unseen; a grant's time counted from the start of the takeover, though the old grantor may renew until it ends; a grantor that the host list does not show yet was not waited for. Change: statements name processes; the time counts from the last answer of a new process; the group's record names the grantor before, which is expected.

--- a/core/src/main/java/org/endivehold/grant/Grantor.java
+++ b/core/src/main/java/org/endivehold/grant/Grantor.java
@@ -153,6 +153,15 @@
         takeover.list(hosts, readAt);
     }
 
+    /**
+     * Names the host of the grantor before this one, by the record of the group.
+     *
+     * @param host its host, which has to be heard of also where the host list does not show it
+     */
+    public void after(HostId host) {
+        takeover.expect(List.of(host));
+    }
+
     /**
      * Returns whom to ask for a statement, and notes that they are being asked.
      *
@@ -185,7 +194,7 @@
             return false;
         }
         processes.put(holder.host(), holder);
-        takeover.answered(holder.host());
+        takeover.answered(holder, now);
         orphans.state(holder.host(), statement.upstreams());
         advance(now);
         for (UpstreamAllocation allocation : allocations.values()) {
@@ -354,7 +363,7 @@
         Set<HostId> served = new HashSet<>(processes.keySet());
         served.addAll(takeover.expected());
         return new GrantorStatement(
-                epoch, takeover.isComplete(now), served.stream().sorted().toList());
+                epoch, takeover.isComplete(now), served.stream().sorted().toList(), List.copyOf(processes.values()));
     }
 
     /**
--- a/core/src/main/java/org/endivehold/grant/Takeover.java
+++ b/core/src/main/java/org/endivehold/grant/Takeover.java
@@ -1,15 +1,15 @@
 package org.endivehold.grant;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
 import org.endivehold.misc.Epoch;
 import org.endivehold.misc.HostId;
+import org.endivehold.misc.Incarnation;
+import org.endivehold.upstream.StreamOwner;
 
 /**
  * Whom a new grantor has to hear of before it may count on everything that it was not told of being free.
@@ -18,7 +18,17 @@
  * old grantor named. Each has to answer, or to be missing from the list for as long as a grant can last. The list lags,
  * so an old grantor may have served daemons that it does not show yet: either the grantor of the epoch just before
  * answers, itself complete, and names them; or the time of every grant that it can have sent before it ended has
- * passed. An old grantor that lives and does not answer is on the list, so it holds the takeover open.
+ * passed. The record of the group names the old grantor, so it is expected even where the list does not show it yet,
+ * and holds the takeover open while it lives and does not answer. It may renew until then, also for daemons that are
+ * not listed; so the time counts from when the last expected daemon settled, not from the start of the takeover.
+ *
+ * <p>Answers count for processes. A daemon that has answered can be replaced by a new process on its host, which knows
+ * nothing of this epoch and may take shares from the old grantor. The old grantor's statement names the processes that
+ * it served, and a host counts as heard of only if the process named, or a later one, has answered.
+ *
+ * <p>Example: daemon C, process 1, answers the new grantor and is restarted; process 2 gets a share that another daemon
+ * handed back to the old grantor. When the old grantor states that it served process 2, the takeover waits for its
+ * answer, which states that share.
  *
  * <p>Being cut off from a listed daemon therefore costs the capacity that it may hold, for as long as it is listed, and
  * never safety.
@@ -28,12 +38,14 @@
     private final long startedAt;
     private final GrantTimings timings;
     private final Set<HostId> expected = new TreeSet<>();
-    private final Set<HostId> answered = new HashSet<>();
+    private final Map<HostId, Incarnation> answered = new HashMap<>();
+    private final Map<HostId, Incarnation> served = new HashMap<>();
     private final Map<HostId, Long> missingSince = new HashMap<>();
     private Set<HostId> listed = Set.of();
     private boolean listRead;
     private boolean predecessorStated;
     private boolean complete;
+    private long settledAt;
 
     /**
      * Starts a takeover.
@@ -46,6 +58,7 @@
     Takeover(Epoch epoch, boolean first, GrantTimings timings, long now) {
         this.epoch = epoch;
         this.startedAt = now;
+        this.settledAt = now;
         this.timings = timings;
         this.complete = first;
     }
@@ -71,22 +84,34 @@
         expected.addAll(hosts);
     }
 
-    /** A host has stated what it holds, and refuses earlier epochs from now on. */
-    void answered(HostId host) {
-        expected.add(host);
-        answered.add(host);
+    /** A process has stated what it holds, and refuses earlier epochs from now on. */
+    void answered(StreamOwner process, long now) {
+        expected.add(process.host());
+        Incarnation before = answered.get(process.host());
+        if (before == null || before.compareTo(process.incarnation()) < 0) {
+            answered.put(process.host(), process.incarnation());
+            settledAt = Math.max(settledAt, now);
+        }
     }
 
     /** An earlier grantor has stopped and stated whom it served. */
     void predecessor(GrantorStatement statement) {
         expected.addAll(statement.served());
+        for (StreamOwner process : statement.processes()) {
+            expected.add(process.host());
+            served.merge(process.host(), process.incarnation(), (a, b) -> a.compareTo(b) < 0 ? b : a);
+        }
         predecessorStated |= statement.complete() && statement.epoch().next().equals(epoch);
     }
 
     List<HostId> unanswered() {
-        List<HostId> left = new ArrayList<>(expected);
-        left.removeAll(answered);
-        return left;
+        return expected.stream().filter(host -> !hasAnswered(host)).toList();
+    }
+
+    private boolean hasAnswered(HostId host) {
+        Incarnation newest = answered.get(host);
+        Incarnation named = served.getOrDefault(host, Incarnation.ZERO);
+        return newest != null && newest.compareTo(named) >= 0;
     }
 
     Collection<HostId> expected() {
@@ -108,7 +133,7 @@
     boolean isComplete(long now) {
         if (!complete && listRead) {
             boolean settled = unanswered().stream().allMatch(host -> isDropped(host, now));
-            complete = settled && (predecessorStated || now - startedAt >= timings.expiryMillis());
+            complete = settled && (predecessorStated || now - settledAt >= timings.expiryMillis());
         }
         return complete;
     }
--- a/core/src/test/java/org/endivehold/grant/GrantWorld.java
+++ b/core/src/test/java/org/endivehold/grant/GrantWorld.java
@@ -294,7 +294,7 @@
 
     private GrantorStatement told(GrantorStatement statement) {
         return broken.contains(Broken.NO_STATEMENT)
-                ? new GrantorStatement(new Epoch(epoch - 1), true, List.of())
+                ? new GrantorStatement(new Epoch(epoch - 1), true, List.of(), List.of())
                 : statement;
     }
 
--- a/core/src/test/java/org/endivehold/grant/GrantorTest.java
+++ b/core/src/test/java/org/endivehold/grant/GrantorTest.java
@@ -154,16 +154,52 @@
     void aTakeoverWaitsForThePredecessorOrAGrantsTime() {
         Takeover takeover = new Takeover(new Epoch(3), false, TIMINGS, 0);
         takeover.list(List.of(A, B), 1);
-        takeover.answered(A);
+        takeover.answered(process(A, 1), 2);
         assertTrue(!takeover.isComplete(10_000), "b has not answered");
-        takeover.answered(B);
+        takeover.answered(process(B, 1), 3);
         assertTrue(!takeover.isComplete(100), "a grant's time has not passed");
-        takeover.predecessor(new GrantorStatement(new Epoch(2), true, List.of(new HostId("unlisted"))));
+        takeover.predecessor(new GrantorStatement(new Epoch(2), true, List.of(new HostId("unlisted")), List.of()));
         takeover.list(List.of(A, B), 200);
         assertTrue(!takeover.isComplete(300), "the named daemon has not answered");
         assertTrue(takeover.isComplete(200 + TIMINGS.expiryMillis()));
     }
 
+    @Test
+    void aTakeoverWaitsForTheProcessThatThePredecessorServed() {
+        Takeover takeover = new Takeover(new Epoch(3), false, TIMINGS, 0);
+        takeover.list(List.of(A, B), 1);
+        takeover.answered(process(A, 1), 2);
+        takeover.answered(process(B, 1), 3);
+        takeover.predecessor(new GrantorStatement(new Epoch(2), true, List.of(B), List.of(process(B, 2))));
+        assertTrue(!takeover.isComplete(4), "the restarted process has not answered");
+        assertEquals(List.of(B), takeover.unanswered());
+        takeover.answered(process(B, 2), 5);
+        assertTrue(takeover.isComplete(6));
+    }
+
+    @Test
+    void aGrantsTimeCountsFromTheLastAnswer() {
+        Takeover takeover = new Takeover(new Epoch(3), false, TIMINGS, 0);
+        takeover.list(List.of(A, B), 1);
+        takeover.answered(process(A, 1), 2);
+        long late = TIMINGS.expiryMillis();
+        takeover.answered(process(B, 2), late);
+        assertTrue(!takeover.isComplete(late + 1), "b's earlier process may have renewed until it ended");
+        assertTrue(takeover.isComplete(late + TIMINGS.expiryMillis()));
+    }
+
+    @Test
+    void aTakeoverWaitsForAnUnlistedPredecessor() {
+        Grantor grantor = new Grantor(0, new Epoch(2), false, TIMINGS, 0);
+        grantor.after(B);
+        grantor.list(List.of(A), 1);
+        assertEquals(List.of(A, B), grantor.ask(List.of()));
+    }
+
+    private static StreamOwner process(HostId host, long incarnation) {
+        return new StreamOwner(host, new Incarnation(incarnation));
+    }
+
     private static GrantHolder holder(HostId host, long incarnation) {
         GrantHolder holder =
                 new GrantHolder(new StreamOwner(host, new Incarnation(incarnation)), new GrantGroups(1), 1_000_000);
--- a/daemon/src/main/java/org/endivehold/daemon/grant/GrantService.java
+++ b/daemon/src/main/java/org/endivehold/daemon/grant/GrantService.java
@@ -8,6 +8,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.endivehold.config.ConfigurationSnapshot;
 import org.endivehold.daemon.DaemonContext;
@@ -252,9 +253,9 @@
     }
 
     @Override
-    public void taken(int group, Epoch epoch) {
+    public void taken(int group, Epoch epoch, Optional<HostId> before) {
         table.learn(new GroupGrantor(group, context.settings().host(), epoch));
-        if (grantors.start(group, epoch).isPresent()) {
+        if (grantors.start(group, epoch, before).isPresent()) {
             membership.readListNow();
             server.ask(liveSince.keySet(), membership.listed());
             readLoads();
--- a/daemon/src/main/java/org/endivehold/daemon/grant/GrantorSet.java
+++ b/daemon/src/main/java/org/endivehold/daemon/grant/GrantorSet.java
@@ -24,6 +24,7 @@
 import org.endivehold.misc.HostId;
 import org.endivehold.misc.LogEvent;
 import org.endivehold.misc.UpstreamName;
+import org.endivehold.upstream.StreamOwner;
 import org.jboss.logging.Logger;
 
 /** The groups of which this daemon is, or was, the grantor. */
@@ -65,7 +66,7 @@
     }
 
     /** Starts as grantor of a group in an epoch, unless that has happened. */
-    Optional<Grantor> start(int group, Epoch epoch) {
+    Optional<Grantor> start(int group, Epoch epoch, Optional<HostId> before) {
         Grantor old = active.get(group);
         if (old != null && old.epoch().compareTo(epoch) >= 0) {
             return Optional.empty();
@@ -75,6 +76,7 @@
         Grantor grantor =
                 new Grantor(group, epoch, first, timings, context.ticker().millis());
         grantor.lease(leaseUntil);
+        before.ifPresent(grantor::after);
         past(group).ifPresent(grantor::predecessor);
         configure(grantor);
         active.put(group, grantor);
@@ -149,6 +151,8 @@
         }
         Set<HostId> served = new HashSet<>(old.served());
         served.addAll(next.served());
-        return new GrantorStatement(next.epoch(), false, new ArrayList<>(served));
+        List<StreamOwner> processes = new ArrayList<>(old.processes());
+        processes.addAll(next.processes());
+        return new GrantorStatement(next.epoch(), false, new ArrayList<>(served), processes);
     }
 }
--- a/daemon/src/main/java/org/endivehold/daemon/grant/GroupLeases.java
+++ b/daemon/src/main/java/org/endivehold/daemon/grant/GroupLeases.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
 import io.vertx.core.Future;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -38,7 +39,7 @@
     private final DaemonContext context;
     private final PlatformStore store;
     private final Listener listener;
-    private final ObjectMapper mapper = new ObjectMapper();
+    private final ObjectMapper mapper = new ObjectMapper().registerModule(new Jdk8Module());
     private final Map<HostId, Long> sessions = new HashMap<>();
     private final Map<Integer, StoreEntry> groups = new HashMap<>();
     private Optional<Session> session = Optional.empty();
@@ -55,7 +56,7 @@
         void known(GroupGrantor grantor);
 
         /** This daemon holds a group. */
-        void taken(int group, Epoch epoch);
+        void taken(int group, Epoch epoch, Optional<HostId> before);
 
         /** The lease on all groups is certainly held until a time. */
         void held(long until);
@@ -159,7 +160,7 @@
             Optional<GroupRecord> record = record(group);
             record.ifPresent(r -> listener.known(new GroupGrantor(current, r.host(), r.epoch())));
             if (record.isPresent() && isMine(record.get())) {
-                listener.taken(group, record.get().epoch());
+                listener.taken(group, record.get().epoch(), record.get().before());
                 if (listener.isSurrendered(group)) {
                     chain = chain.compose(done -> take(current, record));
                 } else if (listener.gives(group)) {
@@ -176,11 +177,12 @@
         return ensureSession()
                 .compose(mine -> {
                     Epoch epoch = old.map(r -> r.epoch().next()).orElse(Epoch.ZERO.next());
-                    GroupRecord next =
-                            new GroupRecord(context.settings().host(), context.incarnation(), mine.revision(), epoch);
+                    Optional<HostId> before = old.map(GroupRecord::host);
+                    GroupRecord next = new GroupRecord(
+                            context.settings().host(), context.incarnation(), mine.revision(), epoch, before);
                     return swap(group, next).onSuccess(result -> {
                         if (result.swapped()) {
-                            listener.taken(group, epoch);
+                            listener.taken(group, epoch, before);
                         }
                     });
                 })
@@ -188,7 +190,7 @@
     }
 
     private Future<Void> give(int group, GroupRecord mine) {
-        return swap(group, new GroupRecord(mine.host(), mine.incarnation(), 0, mine.epoch()))
+        return swap(group, new GroupRecord(mine.host(), mine.incarnation(), 0, mine.epoch(), mine.before()))
                 .mapEmpty();
     }
 
--- a/daemon/src/main/java/org/endivehold/daemon/grant/GroupRecord.java
+++ b/daemon/src/main/java/org/endivehold/daemon/grant/GroupRecord.java
@@ -1,5 +1,6 @@
 package org.endivehold.daemon.grant;
 
+import java.util.Optional;
 import org.endivehold.misc.Epoch;
 import org.endivehold.misc.HostId;
 import org.endivehold.misc.Incarnation;
@@ -11,5 +12,6 @@
  * @param incarnation the grantor's process
  * @param session revision of the session key under which the group was taken; 0 if it was given up
  * @param epoch the grantor's epoch
+ * @param before host of the grantor of the epoch before, empty for the first
  */
-record GroupRecord(HostId host, Incarnation incarnation, long session, Epoch epoch) {}
+record GroupRecord(HostId host, Incarnation incarnation, long session, Epoch epoch, Optional<HostId> before) {}
