--- a/daemon/src/main/java/org/endivehold/daemon/request/GenerationRun.java
+++ b/daemon/src/main/java/org/endivehold/daemon/request/GenerationRun.java
@@ -30,7 +30,7 @@
     private final AnswerSink sink;
     private final GenerationResources resources;
     private final EngineSelector selector;
-    private final Listener listener;
+    private final GenerationRunListener listener;
     private final EngineNeed need;
     private final RunReport report;
     private final StreamAssembler assembler = new StreamAssembler();
@@ -45,32 +45,6 @@
     private boolean prefilling;
     private boolean ended;
 
-    /** Is told what concerns other runs. */
-    interface Listener {
-        /**
-         * The run has ended.
-         *
-         * @param run the run
-         */
-        void ended(GenerationRun run);
-
-        /**
-         * The run needs another engine.
-         *
-         * @param run the run
-         */
-        void replace(GenerationRun run);
-
-        /**
-         * Makes the token with which the caller can go on elsewhere.
-         *
-         * @param run the run
-         * @param stream its stream
-         * @return the token, empty if none can be made
-         */
-        java.util.Optional<String> reattachToken(GenerationRun run, EngineStream stream);
-    }
-
     /**
      * Creates a run and starts its deadline.
      *
@@ -85,7 +59,7 @@
             AnswerSink sink,
             GenerationResources resources,
             EngineSelector selector,
-            Listener listener) {
+            GenerationRunListener listener) {
         this.call = call;
         this.sink = sink;
         this.resources = resources;
--- a/daemon/src/main/java/org/endivehold/daemon/request/GenerationService.java
+++ b/daemon/src/main/java/org/endivehold/daemon/request/GenerationService.java
@@ -36,7 +36,7 @@
     private final Map<GenerationRun, Waiting> running = new LinkedHashMap<>();
     private final List<GenerationRun> displaced = new ArrayList<>();
     private final List<Long> timers = new ArrayList<>();
-    private final GenerationRun.Listener listener = new RunListener();
+    private final GenerationRunListener listener = new RunListener();
     private GenerationResources resources;
     private EngineSelector selector;
     private Admission admission;
@@ -241,7 +241,7 @@
         }
     }
 
-    private final class RunListener implements GenerationRun.Listener {
+    private final class RunListener implements GenerationRunListener {
         @Override
         public void ended(GenerationRun run) {
             displaced.remove(run);
