Split unlimited reservations at engine memory; avoid failed engines

The baseline now splits at each engine's configured memory, and a retry asks for engines that have not failed first.

--- a/core/src/main/java/org/endivehold/grant/ConfiguredCapacity.java
+++ b/core/src/main/java/org/endivehold/grant/ConfiguredCapacity.java
@@ -97,7 +97,8 @@
         if (free.slots() == 0 || (!split && free.memoryTokens() < missing)) {
             return 0;
         }
-        return Math.min(missing, free.memoryTokens());
+        long most = split ? Math.min(free.memoryTokens(), upstream.memoryTokens()) : free.memoryTokens();
+        return Math.min(missing, most);
     }
 
     private Amount free(Upstream upstream) {
--- a/daemon/src/main/java/org/endivehold/daemon/request/EngineSelector.java
+++ b/daemon/src/main/java/org/endivehold/daemon/request/EngineSelector.java
@@ -178,7 +178,7 @@
         Comparator<Candidate> predicted =
                 Comparator.comparingDouble(c -> LeastPredictedTime.predictedMillis(need.placement(), c));
         return found.stream()
-                .sorted(closed.thenComparing(predicted))
+                .sorted(failed.thenComparing(closed).thenComparing(predicted))
                 .map(Candidate::upstream)
                 .toList();
     }
