--- a/daemon/src/main/java/org/endivehold/daemon/request/EngineSelector.java
+++ b/daemon/src/main/java/org/endivehold/daemon/request/EngineSelector.java
@@ -174,6 +174,7 @@
                 found.add(candidate(share, upstream, cached.getOrDefault(upstream.name(), 0L)));
             }
         }
+        Comparator<Candidate> failed = Comparator.comparing(c -> need.failed().contains(c.upstream()));
         Comparator<Candidate> closed = Comparator.comparing(c -> !c.longAllowed() || !open.contains(c.upstream()));
         Comparator<Candidate> predicted =
                 Comparator.comparingDouble(c -> LeastPredictedTime.predictedMillis(need.placement(), c));
