Bound the streams per engine in placement by predicted time

Daemons that do not see one another crowded the engine with the cached prefix. Only candidates with at most 1.25 times the mean number of this daemon's streams are considered now.

--- a/core/src/main/java/org/endivehold/placement/LeastPredictedTime.java
+++ b/core/src/main/java/org/endivehold/placement/LeastPredictedTime.java
@@ -13,6 +13,11 @@
  * fewest streams of this daemon is taken, then one by lot, so that daemons that see the same reports do not all choose
  * the same upstream.
  *
+ * <p>Only candidates whose streams of this daemon do not exceed {@link #LOAD_FACTOR} times the mean, the new one
+ * included, are considered, as in consistent hashing with bounded loads. What other daemons send is known late, so all
+ * of them may find the same upstream best, for its cached prefixes above all; the bound keeps each of them, and so all
+ * together, from crowding it.
+ *
  * <p>Example: an upstream with 8,000 tokens ahead at 20,000 tokens a second answers a prompt of 2,000 tokens after 500
  * ms; one that is idle but 100 ms away after 200 ms; the second is taken.
  */
@@ -23,6 +28,9 @@
     /** Candidates whose predictions differ by no more than this are equal, in milliseconds. */
     public static final double TIE_MILLIS = 2.0;
 
+    /** Most streams on a candidate, as a multiple of the mean over all candidates. */
+    public static final double LOAD_FACTOR = 1.25;
+
     private static final double MILLIS_PER_SECOND = 1000.0;
 
     private final UniformRandomProvider random;
@@ -43,6 +51,16 @@
 
     @Override
     public Optional<Candidate> choose(PlacementRequest request, List<Candidate> candidates) {
+        return soonest(request, withinBound(candidates));
+    }
+
+    private static List<Candidate> withinBound(List<Candidate> candidates) {
+        double streams = 1 + candidates.stream().mapToInt(Candidate::streams).sum();
+        double most = Math.ceil(LOAD_FACTOR * streams / Math.max(1, candidates.size()));
+        return candidates.stream().filter(c -> c.streams() < most).toList();
+    }
+
+    private Optional<Candidate> soonest(PlacementRequest request, List<Candidate> candidates) {
         double soonest = candidates.stream()
                 .mapToDouble(c -> predictedMillis(request, c))
                 .min()
