--- a/core/src/test/java/org/endivehold/grant/ConfiguredCapacityTest.java
+++ b/core/src/test/java/org/endivehold/grant/ConfiguredCapacityTest.java
@@ -71,7 +71,8 @@
         capacity.activated(GrantSamples.snapshot(GrantSamples.upstream("e1", 2, 1), GrantSamples.upstream("e2", 2, 1)));
         long more = GrantSamples.MEMORY_TOKENS + 1;
         ReservationRequest request = new ReservationRequest(List.of(E1, E2), more, more, true, 1);
-        List<Permit> permits = capacity.reserve(request, 0).toCompletableFuture().join();
+        List<Permit> permits =
+                capacity.reserve(request, 0).toCompletableFuture().join();
         assertEquals(List.of(E1, E2), permits.stream().map(Permit::upstream).toList());
         assertEquals(1, permits.get(1).memoryTokens());
     }
