--- a/bench/src/main/java/org/endivehold/bench/fleet/Fleet.java
+++ b/bench/src/main/java/org/endivehold/bench/fleet/Fleet.java
@@ -171,7 +171,10 @@
     private Settings settings(String host, ZoneName zone) throws EndiveholdException {
         ObjectNode root = JsonNodeFactory.instance.objectNode();
         root.put("host", host).put("zone", zone.value()).put("seed", plan.seed() + started);
-        root.putObject("callers").put("address", "127.0.0.1").put("port", 0);
+        root.putObject("callers")
+                .put("address", "127.0.0.1")
+                .put("port", 0)
+                .put("reattachSecretFile", tokenFile.toString());
         root.putObject("operators").put("port", 0).put("tokenFile", tokenFile.toString());
         root.putObject("peers").put("port", 0);
         root.putObject("store").putArray("endpoints").add(standins.store().url());
--- a/bench/src/main/java/org/endivehold/bench/slope/Slopes.java
+++ b/bench/src/main/java/org/endivehold/bench/slope/Slopes.java
@@ -2,10 +2,14 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.apache.commons.rng.simple.RandomSource;
+import org.endivehold.admission.AdmissionEntry;
+import org.endivehold.admission.AdmissionQueue;
+import org.endivehold.admission.CustomerLimits;
 import org.endivehold.bench.slope.Slope.Point;
 import org.endivehold.config.Configuration;
 import org.endivehold.config.ConfigurationReader;
@@ -16,6 +20,7 @@
 import org.endivehold.membership.Heartbeat;
 import org.endivehold.membership.MembershipFleet;
 import org.endivehold.membership.MembershipTimings;
+import org.endivehold.misc.CustomerName;
 import org.endivehold.misc.UpstreamName;
 import org.endivehold.misc.ZoneName;
 import org.endivehold.placement.Candidate;
@@ -28,8 +33,11 @@
 public final class Slopes {
     private static final int[] UPSTREAMS = {19, 200, 1_000};
     private static final int[] DAEMONS = {8, 50, 400};
+    private static final int[] WAITING = {16, 128, 1_024};
+    private static final int CUSTOMERS = 10;
+    private static final CustomerLimits LIMITS = new CustomerLimits(Integer.MAX_VALUE, Integer.MAX_VALUE);
     private static final int[] OBJECTS = {100, 400, 1_600};
-    private static final long JOIN_MILLIS = 60_000;
+    private static final long JOIN_MILLIS = 420_000;
     private static final long MEASURE_MILLIS = 20_000;
     private static final double MILLIS_PER_SECOND = 1_000;
     private static final MembershipTimings TIMINGS = new MembershipTimings(500, 200, 3, 4);
@@ -63,6 +71,8 @@
             return ConfigurationReader.readDocument("bench", json).orThrow();
         }));
         slopes.addAll(membership());
+        slopes.addAll(new GrantSlopes().measure());
+        slopes.add(admission());
         slopes.forEach(s -> progress.accept(s.toString()));
         return slopes;
     }
@@ -134,6 +144,31 @@
                 upstreams);
     }
 
+    private static Slope admission() throws EndiveholdException {
+        List<Point> points = new ArrayList<>();
+        for (int waiting : WAITING) {
+            AdmissionQueue<Integer> queue = new AdmissionQueue<>(2 * waiting);
+            for (int i = 0; i < waiting; i++) {
+                queue.offer(entry(i), LIMITS, 0);
+            }
+            points.add(new Point(waiting, Stopwatch.micros(() -> {
+                Optional<AdmissionEntry<Integer>> taken = queue.take(e -> true, 0);
+                if (taken.isPresent()) {
+                    queue.ended(taken.get().customer());
+                    queue.offer(taken.get(), LIMITS, 0);
+                }
+                return taken;
+            })));
+        }
+        return Slope.fit("admission, one taken and one offered", "waiting requests", "microseconds", points);
+    }
+
+    private static AdmissionEntry<Integer> entry(int number) {
+        CustomerName customer = new CustomerName("customer-" + number % CUSTOMERS);
+        return new AdmissionEntry<>(
+                number, number, customer, RequestClass.INTERACTIVE, 1_000L + number % 7 * 4_000L, 1, Long.MAX_VALUE);
+    }
+
     private List<Slope> membership() {
         List<Point> messages = new ArrayList<>();
         List<Point> bytes = new ArrayList<>();
--- a/core/src/main/java/org/endivehold/grant/GrantHolder.java
+++ b/core/src/main/java/org/endivehold/grant/GrantHolder.java
@@ -200,6 +200,18 @@
         return held == null ? 0 : held.grant().waitingPrefillTokens();
     }
 
+    /**
+     * Returns the least age of the report behind {@link #waitingPrefillTokens}.
+     *
+     * @param upstream the upstream
+     * @param now monotonic time in milliseconds
+     * @return milliseconds since the request was sent that brought the grant
+     */
+    public long reportAgeMillis(UpstreamName upstream, long now) {
+        HeldGrant held = grants.get(upstream);
+        return held == null ? 0 : Math.max(0, now - held.sentAt());
+    }
+
     /**
      * Returns what is in use of the pooled share.
      *
--- a/core/src/main/java/org/endivehold/grant/GrantedCapacity.java
+++ b/core/src/main/java/org/endivehold/grant/GrantedCapacity.java
@@ -92,6 +92,7 @@
                     free.memoryTokens(),
                     used.slots() + holder.reserved(name).slots(),
                     holder.waitingPrefillTokens(name),
+                    holder.reportAgeMillis(name, now),
                     longAllowed.contains(name)));
         }
         return shares;
--- a/core/src/test/java/org/endivehold/grant/GrantorTest.java
+++ b/core/src/test/java/org/endivehold/grant/GrantorTest.java
@@ -196,6 +196,21 @@
         assertEquals(List.of(A, B), grantor.ask(List.of()));
     }
 
+    @Test
+    void aReportDrainsWithTime() {
+        long[][] cases = {
+            {8_000, 0, 20_000, 8_000},
+            {8_000, 300, 20_000, 2_000},
+            {8_000, 400, 20_000, 0},
+            {8_000, 5_000, 20_000, 0},
+            {0, 300, 20_000, 0},
+        };
+        for (long[] c : cases) {
+            Share share = new Share(E1, 1, 1, 0, c[0], c[1], true);
+            assertEquals(c[3], share.expectedPrefillTokens((double) c[2]));
+        }
+    }
+
     private static StreamOwner process(HostId host, long incarnation) {
         return new StreamOwner(host, new Incarnation(incarnation));
     }
--- a/daemon/src/main/java/org/endivehold/daemon/Daemon.java
+++ b/daemon/src/main/java/org/endivehold/daemon/Daemon.java
@@ -70,7 +70,6 @@
         kernel.add(new OperatorPort(context));
         kernel.add(new GrantService(context));
         kernel.add(new CapacityService(context));
-        kernel.add(new GenerationService(context));
         kernel.add(new UpstreamService(context));
         kernel.add(new LedgerService(context));
         kernel.add(new PlainCallService(context));
--- a/daemon/src/main/java/org/endivehold/daemon/request/EngineSelector.java
+++ b/daemon/src/main/java/org/endivehold/daemon/request/EngineSelector.java
@@ -199,7 +199,9 @@
     }
 
     private Candidate candidate(Share share, Upstream upstream, long cachedTokens) {
-        long ahead = Math.max(share.waitingPrefillTokens(), prefillAhead.getOrDefault(upstream.name(), 0L));
+        double rate = rates.rate(upstream.name(), (double) upstream.prefillTokensPerSecond());
+        long own = prefillAhead.getOrDefault(upstream.name(), 0L);
+        long ahead = Math.max(share.expectedPrefillTokens(rate), own);
         return new Candidate(
                 upstream.name(),
                 upstream.zone(),
@@ -207,7 +209,7 @@
                 share.freeMemoryTokens(),
                 share.usedSlots(),
                 ahead,
-                rates.rate(upstream.name(), (double) upstream.prefillTokensPerSecond()),
+                rate,
                 cachedTokens,
                 distanceMillis(upstream.zone()),
                 share.longAllowed());
