--- a/core/src/main/java/org/endivehold/grant/ConfiguredCapacity.java
+++ b/core/src/main/java/org/endivehold/grant/ConfiguredCapacity.java
@@ -44,7 +44,7 @@
         for (Upstream upstream : serving.values()) {
             Amount free = free(upstream);
             int used = used(upstream.name()).slots();
-            shares.add(new Share(upstream.name(), free.slots(), free.memoryTokens(), used, 0, 0, true));
+            shares.add(new Share(upstream.name(), free.slots(), free.memoryTokens(), used, 0, 0));
         }
         return shares;
     }
--- a/core/src/main/java/org/endivehold/grant/GrantedCapacity.java
+++ b/core/src/main/java/org/endivehold/grant/GrantedCapacity.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.concurrent.CompletionStage;
@@ -27,7 +26,6 @@
     private final Ticker ticker;
     private final Map<Long, Reservation> reservations = new HashMap<>();
     private SortedMap<UpstreamName, Upstream> serving = new TreeMap<>();
-    private Set<UpstreamName> longAllowed = Set.of();
 
     /** Asks the grantors for reservations. */
     @FunctionalInterface
@@ -75,7 +73,6 @@
     @Override
     public void activated(ConfigurationSnapshot snapshot) {
         serving = ServingUpstreams.of(snapshot.configuration());
-        longAllowed = LongPromptEngines.of(serving.values());
         holder.want(serving.keySet());
     }
 
@@ -92,8 +89,7 @@
                     free.memoryTokens(),
                     used.slots() + holder.reserved(name).slots(),
                     holder.waitingPrefillTokens(name),
-                    holder.reportAgeMillis(name, now),
-                    longAllowed.contains(name)));
+                    holder.reportAgeMillis(name, now)));
         }
         return shares;
     }
--- a/core/src/main/java/org/endivehold/grant/Share.java
+++ b/core/src/main/java/org/endivehold/grant/Share.java
@@ -11,7 +11,6 @@
  * @param usedSlots slots in use by this daemon
  * @param waitingPrefillTokens prompt tokens that waited there by the grantor's last report
  * @param reportAgeMillis least age of that report, in milliseconds
- * @param longAllowed whether long prompts may go there
  */
 public record Share(
         UpstreamName upstream,
@@ -19,8 +18,7 @@
         long freeMemoryTokens,
         int usedSlots,
         long waitingPrefillTokens,
-        long reportAgeMillis,
-        boolean longAllowed) {
+        long reportAgeMillis) {
     private static final double MILLIS_PER_SECOND = 1_000.0;
 
     /**
--- a/core/src/test/java/org/endivehold/grant/GrantorTest.java
+++ b/core/src/test/java/org/endivehold/grant/GrantorTest.java
@@ -206,7 +206,7 @@
             {0, 300, 20_000, 0},
         };
         for (long[] c : cases) {
-            Share share = new Share(E1, 1, 1, 0, c[0], c[1], true);
+            Share share = new Share(E1, 1, 1, 0, c[0], c[1]);
             assertEquals(c[3], share.expectedPrefillTokens((double) c[2]));
         }
     }
--- a/daemon/src/main/java/org/endivehold/daemon/operator/StatusCollector.java
+++ b/daemon/src/main/java/org/endivehold/daemon/operator/StatusCollector.java
@@ -62,8 +62,7 @@
                         .put("usedSlots", share.usedSlots())
                         .put("freeSlots", share.freeSlots())
                         .put("freeMemoryTokens", share.freeMemoryTokens())
-                        .put("waitingPrefillTokens", share.waitingPrefillTokens())
-                        .put("longAllowed", share.longAllowed()));
+                        .put("waitingPrefillTokens", share.waitingPrefillTokens()));
             }
         }
         return array;
--- a/daemon/src/main/java/org/endivehold/daemon/request/EngineSelector.java
+++ b/daemon/src/main/java/org/endivehold/daemon/request/EngineSelector.java
@@ -9,6 +9,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
 import org.endivehold.config.Configuration;
 import org.endivehold.config.Upstream;
 import org.endivehold.grant.Permit;
@@ -82,13 +84,10 @@
         List<Candidate> preferred = candidates.stream()
                 .filter(c -> !need.failed().contains(c.upstream()))
                 .toList();
-        return resources
-                .policy()
-                .choose(need.placement(), preferred.isEmpty() ? candidates : preferred)
-                .flatMap(chosen -> resources
-                        .capacity()
-                        .acquire(chosen.upstream(), need.memoryTokens(), resources.now())
-                        .map(permit -> new Selected(chosen, List.of(permit))));
+        return resources.policy().choose(need.placement(), preferred).flatMap(chosen -> resources
+                .capacity()
+                .acquire(chosen.upstream(), need.memoryTokens(), resources.now())
+                .map(permit -> new Selected(chosen, List.of(permit))));
     }
 
     /**
@@ -99,15 +98,12 @@
      * @return candidates, in order of names
      */
     List<Candidate> candidates(EngineNeed need, long memoryTokens) {
-        long now = resources.now();
-        Map<UpstreamName, Upstream> serving = serving(need.version());
-        Map<UpstreamName, Long> cached = prefixes.expected(need.hashes());
+        View view = view(need);
         List<Candidate> found = new ArrayList<>();
-        for (Share share : resources.capacity().shares(now)) {
-            Upstream upstream = serving.get(share.upstream());
+        for (Share share : resources.capacity().shares(resources.now())) {
             boolean room = share.freeSlots() > 0 && share.freeMemoryTokens() >= memoryTokens;
-            if (upstream != null && room && ejection.allows(upstream.name(), now)) {
-                found.add(candidate(share, upstream, cached.getOrDefault(upstream.name(), 0L)));
+            if (room && view.allows(share.upstream())) {
+                found.add(candidate(view, share));
             }
         }
         return found;
@@ -121,15 +117,14 @@
      * @return the engine as a candidate, or empty if it takes no new work
      */
     Optional<Candidate> describe(EngineNeed need, UpstreamName name) {
-        Upstream upstream = serving(need.version()).get(name);
-        if (upstream == null) {
+        View view = view(need);
+        if (!view.serving().containsKey(name)) {
             return Optional.empty();
         }
-        long cached = prefixes.expected(need.hashes()).getOrDefault(name, 0L);
         return resources.capacity().shares(resources.now()).stream()
                 .filter(share -> share.upstream().equals(name))
                 .findFirst()
-                .map(share -> candidate(share, upstream, cached));
+                .map(share -> candidate(view, share));
     }
 
     /**
@@ -164,18 +159,15 @@
      * @return names, the most wanted first
      */
     List<UpstreamName> longCandidates(EngineNeed need) {
-        Map<UpstreamName, Upstream> serving = serving(need.version());
-        Set<UpstreamName> open = lanes.lanes(List.copyOf(serving.keySet()));
-        Map<UpstreamName, Long> cached = prefixes.expected(need.hashes());
+        View view = view(need);
         List<Candidate> found = new ArrayList<>();
         for (Share share : resources.capacity().shares(resources.now())) {
-            Upstream upstream = serving.get(share.upstream());
-            if (upstream != null && ejection.allows(upstream.name(), resources.now())) {
-                found.add(candidate(share, upstream, cached.getOrDefault(upstream.name(), 0L)));
+            if (view.allows(share.upstream())) {
+                found.add(candidate(view, share));
             }
         }
         Comparator<Candidate> failed = Comparator.comparing(c -> need.failed().contains(c.upstream()));
-        Comparator<Candidate> closed = Comparator.comparing(c -> !c.longAllowed() || !open.contains(c.upstream()));
+        Comparator<Candidate> closed = Comparator.comparing(c -> !c.longAllowed());
         Comparator<Candidate> predicted =
                 Comparator.comparingDouble(c -> LeastPredictedTime.predictedMillis(need.placement(), c));
         return found.stream()
@@ -198,21 +190,49 @@
         return engines;
     }
 
-    private Candidate candidate(Share share, Upstream upstream, long cachedTokens) {
+    /**
+     * What stays the same for all engines of one placement.
+     *
+     * @param serving engines that serve the version and take new work
+     * @param cached expected cached prefixes, in tokens
+     * @param lanes engines that long prompts may use
+     * @param ejected engines that get nothing after failures
+     */
+    private record View(
+            Map<UpstreamName, Upstream> serving,
+            Map<UpstreamName, Long> cached,
+            Set<UpstreamName> lanes,
+            Set<UpstreamName> ejected) {
+        boolean allows(UpstreamName name) {
+            return serving.containsKey(name) && !ejected.contains(name);
+        }
+    }
+
+    private View view(EngineNeed need) {
+        Map<UpstreamName, Upstream> serving = serving(need.version());
+        List<UpstreamName> names = List.copyOf(serving.keySet());
+        long now = resources.now();
+        Set<UpstreamName> ejected = names.stream()
+                .filter(name -> !ejection.allows(name, now))
+                .collect(Collectors.toCollection(TreeSet::new));
+        return new View(serving, prefixes.expected(need.hashes()), lanes.lanes(names), ejected);
+    }
+
+    private Candidate candidate(View view, Share share) {
+        Upstream upstream = view.serving().get(share.upstream());
         double rate = rates.rate(upstream.name(), (double) upstream.prefillTokensPerSecond());
         long own = prefillAhead.getOrDefault(upstream.name(), 0L);
-        long ahead = Math.max(share.expectedPrefillTokens(rate), own);
         return new Candidate(
                 upstream.name(),
                 upstream.zone(),
                 share.freeSlots(),
                 share.freeMemoryTokens(),
                 share.usedSlots(),
-                ahead,
+                Math.max(share.expectedPrefillTokens(rate), own),
                 rate,
-                cachedTokens,
+                view.cached().getOrDefault(upstream.name(), 0L),
                 distanceMillis(upstream.zone()),
-                share.longAllowed());
+                view.lanes().contains(upstream.name()));
     }
 
     private double distanceMillis(ZoneName zone) {
