--- a/daemon/src/main/java/org/endivehold/daemon/request/EngineSelector.java
+++ b/daemon/src/main/java/org/endivehold/daemon/request/EngineSelector.java
@@ -84,10 +84,13 @@
         List<Candidate> preferred = candidates.stream()
                 .filter(c -> !need.failed().contains(c.upstream()))
                 .toList();
-        return resources.policy().choose(need.placement(), preferred).flatMap(chosen -> resources
-                .capacity()
-                .acquire(chosen.upstream(), need.memoryTokens(), resources.now())
-                .map(permit -> new Selected(chosen, List.of(permit))));
+        return resources
+                .policy()
+                .choose(need.placement(), preferred.isEmpty() ? candidates : preferred)
+                .flatMap(chosen -> resources
+                        .capacity()
+                        .acquire(chosen.upstream(), need.memoryTokens(), resources.now())
+                        .map(permit -> new Selected(chosen, List.of(permit))));
     }
 
     /**
