--- /dev/null
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/EntryDaemon.java
@@ -0,0 +1,179 @@
+package org.endivehold.daemon.entry;
+
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import java.util.function.Supplier;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.endivehold.misc.LogEvent;
+import org.endivehold.misc.Ticker;
+import org.endivehold.relay.RelaySettings;
+import org.endivehold.relay.limit.ColdLimit;
+import org.endivehold.relay.limit.RetryShare;
+import org.endivehold.relay.limit.UpstreamHealth;
+import org.endivehold.relay.peer.PeerMesh;
+import org.endivehold.relay.peer.PeerMessage;
+import org.endivehold.relay.serve.CallerServer;
+import org.endivehold.relay.serve.Dialect;
+import org.endivehold.relay.serve.EngineWork;
+import org.endivehold.relay.serve.RelayBounds;
+import org.endivehold.relay.serve.RelayContext;
+import org.endivehold.relay.serve.RelayMetrics;
+import org.endivehold.relay.state.FleetState;
+import org.endivehold.relay.state.SharedStore;
+import org.endivehold.relay.state.StoreDecoder;
+import org.endivehold.relay.state.WatchedPrefix;
+import org.jboss.logging.Logger;
+
+/** One daemon on an entry host, from its start to its graceful end. */
+public final class EntryDaemon {
+    /** Pause between looks at the account of engines and at copies of the store, in milliseconds. */
+    private static final long TICK_MILLIS = 500;
+    /** Silence of the store after which other daemons are asked for their copies, in milliseconds. */
+    private static final double ASK_AFTER_MILLIS = 400;
+
+    private static final Logger log = Logger.getLogger(EntryDaemon.class);
+
+    private final Vertx vertx;
+    private final RelaySettings settings;
+    private final String self;
+    private final PeerMesh mesh;
+    private final WatchedPrefix operators;
+    private final WatchedPrefix upstreams;
+    private final FleetState fleet;
+    private final EngineWork engines;
+    private final UpstreamHealth health = new UpstreamHealth();
+    private final Registration registration;
+    private final CallerServer callers;
+    private final StatusServer status;
+    private final Ticker ticker = Ticker.system();
+    private int turn;
+
+    /**
+     * Assembles a daemon.
+     *
+     * @param vertx the event loop
+     * @param settings its settings
+     * @param store the platform's store
+     * @param decoder how the store's values are read
+     * @param dialect how headers are named
+     */
+    public EntryDaemon(Vertx vertx, RelaySettings settings, SharedStore store, StoreDecoder decoder, Dialect dialect) {
+        this.vertx = vertx;
+        this.settings = settings;
+        long start = System.currentTimeMillis();
+        self = settings.name() + "#" + start;
+        UniformRandomProvider random = RandomSource.SPLIT_MIX_64.create(start ^ self.hashCode());
+        fleet = new FleetState(decoder, ticker, this::sinceOutageMillis);
+        operators = new WatchedPrefix(vertx, store, decoder.operatorPrefix(), ticker, random, fleet);
+        upstreams = new WatchedPrefix(vertx, store, decoder.upstreamPrefix(), ticker, random, fleet);
+        PeerMessage.Hello hello = new PeerMessage.Hello(
+                self, settings.peers().host(), settings.peers().port());
+        engines = new EngineWork(ticker, self, this::tell);
+        mesh = new PeerMesh(vertx, ticker, hello, new PeerExchange(engines, health, ticker, operators, upstreams));
+        registration = new Registration(vertx, store, decoder.daemonPrefix(), self, settings, mesh);
+        PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+        RelayBounds bounds = settings.bounds();
+        callers = new CallerServer(new RelayContext(
+                vertx,
+                ticker,
+                random,
+                fleet,
+                dialect,
+                bounds,
+                engines,
+                health,
+                new ColdLimit(self),
+                new RetryShare(bounds.retryRatio(), bounds.retrySlack(), bounds.retryWindowMillis()),
+                new MeshCount(mesh),
+                new RelayMetrics(registry)));
+        status = new StatusServer(vertx, settings, dialect.readinessPath(), registry, fleet::complete);
+    }
+
+    /** Creates the event loop that a daemon runs on. */
+    public static Vertx loop() {
+        return Vertx.vertx(new VertxOptions()
+                .setEventLoopPoolSize(1)
+                .setWorkerPoolSize(1)
+                .setInternalBlockingPoolSize(1)
+                .setDisableTCCL(true));
+    }
+
+    private void tell(PeerMessage message) {
+        mesh.tell(message);
+    }
+
+    /** Starts all parts. */
+    public Future<Void> start() {
+        return onLoop(this::begin);
+    }
+
+    private Future<Void> begin() {
+        operators.start();
+        upstreams.start();
+        settings.seeds().forEach(mesh::connect);
+        registration.start();
+        vertx.setPeriodic(TICK_MILLIS, timer -> tick());
+        return status.listen()
+                .compose(done -> mesh.start())
+                .compose(done -> callers.listen(settings.callers()))
+                .onSuccess(done -> LogEvent.of("daemon-started")
+                        .with("daemon", self)
+                        .with("zone", settings.zone())
+                        .with("callers", settings.callers())
+                        .info(log));
+    }
+
+    /** Takes settings that were read anew: seeds that were not known are connected. */
+    public void reload(RelaySettings changed) {
+        vertx.runOnContext(ignored -> {
+            LogEvent.of("settings-reloaded").with("seeds", changed.seeds()).info(log);
+            changed.seeds().forEach(mesh::connect);
+        });
+    }
+
+    /** Stops gracefully: serves what is under way, then closes. */
+    public Future<Void> stop() {
+        return onLoop(() -> {
+                    LogEvent.of("daemon-stopping").with("daemon", self).info(log);
+                    status.stopping();
+                    return callers.drain();
+                })
+                .compose(drained -> onLoop(() -> {
+                    mesh.close();
+                    operators.close();
+                    upstreams.close();
+                    return registration.end();
+                }))
+                .onComplete(done ->
+                        LogEvent.of("daemon-stopped").with("daemon", self).info(log));
+    }
+
+    private void tick() {
+        engines.board().expire((double) ticker.millis(), self);
+        engines.board().retain(fleet.ids());
+        health.retain(fleet.ids());
+        askIfBehind(operators);
+        askIfBehind(upstreams);
+    }
+
+    private void askIfBehind(WatchedPrefix copy) {
+        if (copy.silentMillis() > ASK_AFTER_MILLIS) {
+            mesh.ask(new PeerMessage.CopyWanted(copy.prefix(), copy.revision()), turn++);
+        }
+    }
+
+    private double sinceOutageMillis() {
+        return upstreams.silentMillis() > 0 ? 0 : upstreams.sinceRegainedMillis();
+    }
+
+    private Future<Void> onLoop(Supplier<Future<Void>> step) {
+        Promise<Void> promise = Promise.promise();
+        vertx.runOnContext(ignored -> step.get().onComplete(promise));
+        return promise.future();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/EntryTool.java
@@ -0,0 +1,78 @@
+package org.endivehold.daemon.entry;
+
+import io.vertx.core.Vertx;
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.endivehold.adapter.BootFile;
+import org.endivehold.adapter.HeaderNames;
+import org.endivehold.adapter.PlatformStoreClient;
+import org.endivehold.adapter.StoreEntries;
+import org.endivehold.error.EndiveholdException;
+import org.endivehold.misc.LogEvent;
+import org.endivehold.relay.RelaySettings;
+import org.jboss.logging.Logger;
+
+/**
+ * Starts the daemon of an entry host with the settings that the platform lays there. Exit codes: 0 after a graceful
+ * stop, 1 if it cannot start, 2 for settings with a fault.
+ */
+public final class EntryTool {
+    /** Port on which metrics are served. */
+    private static final int METRICS_PORT = 9_464;
+
+    private static final int EXIT_OK = 0;
+    private static final int EXIT_FAILED = 1;
+    private static final int EXIT_SETTINGS = 2;
+
+    private static final Logger log = Logger.getLogger(EntryTool.class);
+
+    private EntryTool() {}
+
+    /** Runs the daemon until it is told to stop. */
+    public static void main(String[] args) {
+        Path file = BootFile.path();
+        RelaySettings settings;
+        try {
+            settings = BootFile.read(file, METRICS_PORT);
+        } catch (EndiveholdException e) {
+            System.err.println("endiveholdd: " + e.getMessage());
+            Runtime.getRuntime().halt(EXIT_SETTINGS);
+            return;
+        }
+        Vertx vertx = EntryDaemon.loop();
+        EntryDaemon daemon = new EntryDaemon(
+                vertx,
+                settings,
+                new PlatformStoreClient(vertx, settings.store()),
+                new StoreEntries(),
+                new HeaderNames());
+        long grace = settings.bounds().graceMillis();
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon, grace), "stop"));
+        HangupSignal.handle(() -> reload(daemon, file));
+        daemon.start().onFailure(failure -> {
+            System.err.println("endiveholdd: cannot start: " + failure.getMessage());
+            Runtime.getRuntime().halt(EXIT_FAILED);
+        });
+    }
+
+    private static void reload(EntryDaemon daemon, Path file) {
+        try {
+            daemon.reload(BootFile.read(file, METRICS_PORT));
+        } catch (EndiveholdException e) {
+            LogEvent.of("settings-not-reloaded").with("reason", e.getMessage()).warn(log);
+        }
+    }
+
+    /** Waits for the graceful stop and ends with status 0, which a plain return from the hook would not. */
+    private static void stop(EntryDaemon daemon, long graceMillis) {
+        CountDownLatch stopped = new CountDownLatch(1);
+        daemon.stop().onComplete(done -> stopped.countDown());
+        try {
+            boolean inTime = stopped.await(graceMillis, TimeUnit.MILLISECONDS);
+            Runtime.getRuntime().halt(inTime ? EXIT_OK : EXIT_FAILED);
+        } catch (InterruptedException e) {
+            Runtime.getRuntime().halt(EXIT_FAILED);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/MeshCount.java
@@ -0,0 +1,29 @@
+package org.endivehold.daemon.entry;
+
+import java.util.Collection;
+import org.endivehold.relay.peer.PeerMesh;
+import org.endivehold.relay.serve.DaemonCount;
+
+/** Counts the daemons that this one is or was connected to, and some more. */
+final class MeshCount implements DaemonCount {
+    /** Daemons that may have started without this one having heard of them. */
+    private static final int LEAST_SPARE = 2;
+    /** Further such daemons as a part of the known ones. */
+    private static final double SPARE_SHARE = 0.1;
+
+    private final PeerMesh mesh;
+
+    MeshCount(PeerMesh mesh) {
+        this.mesh = mesh;
+    }
+
+    @Override
+    public Collection<String> names() {
+        return mesh.daemons();
+    }
+
+    @Override
+    public int spare() {
+        return LEAST_SPARE + (int) (names().size() * SPARE_SHARE);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/Registration.java
@@ -0,0 +1,129 @@
+package org.endivehold.daemon.entry;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.json.DecodeException;
+import io.vertx.core.json.JsonObject;
+import io.vertx.core.net.SocketAddress;
+import org.endivehold.error.EndiveholdException;
+import org.endivehold.error.ErrorType;
+import org.endivehold.misc.LogEvent;
+import org.endivehold.relay.RelaySettings;
+import org.endivehold.relay.peer.PeerMesh;
+import org.endivehold.relay.state.SharedStore;
+import org.jboss.logging.Logger;
+
+/** Registers this daemon in the store under a lease, and finds the others that are registered. */
+final class Registration {
+    /** Lease of the entry, in milliseconds: several renewals may fail before it lapses. */
+    private static final int LEASE_MILLIS = 12_000;
+    /** Pause between renewals, in milliseconds. */
+    private static final int RENEW_MILLIS = 4_000;
+    /** Pause after a failed try to register, in milliseconds. */
+    private static final int RETRY_MILLIS = 1_500;
+    /** Time after the start at which the others are looked for once more: all start at about the same time. */
+    private static final int SECOND_LOOK_MILLIS = 3_000;
+
+    private static final String HOST = "host";
+    private static final String PORT = "port";
+
+    private static final Logger log = Logger.getLogger(Registration.class);
+
+    private final Vertx vertx;
+    private final SharedStore store;
+    private final String prefix;
+    private final String self;
+    private final RelaySettings settings;
+    private final PeerMesh mesh;
+    private long lease;
+    private boolean ended;
+
+    Registration(Vertx vertx, SharedStore store, String prefix, String self, RelaySettings settings, PeerMesh mesh) {
+        this.vertx = vertx;
+        this.store = store;
+        this.prefix = prefix;
+        this.self = self;
+        this.settings = settings;
+        this.mesh = mesh;
+    }
+
+    void start() {
+        register();
+        vertx.setTimer(SECOND_LOOK_MILLIS, timer -> look());
+    }
+
+    Future<Void> end() {
+        ended = true;
+        return lease == 0 ? Future.succeededFuture() : store.end(lease).otherwiseEmpty();
+    }
+
+    private void register() {
+        if (ended) {
+            return;
+        }
+        int ttl = Math.max(LEASE_MILLIS, settings.leastLeaseMillis());
+        Buffer value = new JsonObject()
+                .put(HOST, settings.peers().host())
+                .put(PORT, settings.peers().port())
+                .toBuffer();
+        store.lease(ttl)
+                .compose(granted -> store.put(prefix + self, value, granted).map(granted))
+                .onSuccess(granted -> {
+                    lease = granted;
+                    LogEvent.of("daemon-registered").with("lease", lease).info(log);
+                    look();
+                    renewLater();
+                })
+                .onFailure(failure -> {
+                    LogEvent.of("daemon-not-registered")
+                            .with("reason", failure.getMessage())
+                            .warn(log);
+                    vertx.setTimer(RETRY_MILLIS, timer -> register());
+                });
+    }
+
+    private void renewLater() {
+        vertx.setTimer(RENEW_MILLIS, timer -> {
+            if (ended) {
+                return;
+            }
+            store.keep(lease).onSuccess(kept -> renewLater()).onFailure(failure -> {
+                LogEvent.of("lease-not-renewed")
+                        .with("lease", lease)
+                        .with("reason", failure.getMessage())
+                        .warn(log);
+                if (failure instanceof EndiveholdException e && e.type() == ErrorType.LEASE_LOST) {
+                    register();
+                } else {
+                    renewLater();
+                }
+            });
+        });
+    }
+
+    private void look() {
+        store.range(prefix)
+                .onSuccess(range -> range.items().forEach(this::found))
+                .onFailure(failure -> LogEvent.of("daemons-not-listed")
+                        .with("reason", failure.getMessage())
+                        .warn(log));
+    }
+
+    private void found(SharedStore.Item item) {
+        String daemon = item.key().substring(prefix.length());
+        if (daemon.equals(self)) {
+            return;
+        }
+        try {
+            JsonObject entry = new JsonObject(item.value());
+            mesh.remember(daemon);
+            mesh.connect(SocketAddress.inetSocketAddress(entry.getInteger(PORT), entry.getString(HOST)));
+        } catch (DecodeException | ClassCastException | NullPointerException e) {
+            LogEvent.of("daemon-unreadable")
+                    .with("key", item.key())
+                    .with("reason", e.getMessage())
+                    .warn(log);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/StatusServer.java
@@ -0,0 +1,64 @@
+package org.endivehold.daemon.entry;
+
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServerRequest;
+import java.util.function.BooleanSupplier;
+import org.endivehold.relay.RelaySettings;
+
+/** Tells the balancer whether this daemon is ready, and serves its metrics. */
+final class StatusServer {
+    /** Path of the metrics. */
+    static final String METRICS_PATH = "/metrics";
+    /** Type of the metrics' text. */
+    private static final String METRICS_TYPE = "text/plain; version=0.0.4";
+
+    private final Vertx vertx;
+    private final RelaySettings settings;
+    private final String readinessPath;
+    private final PrometheusMeterRegistry registry;
+    private final BooleanSupplier complete;
+    private boolean stopping;
+
+    StatusServer(
+            Vertx vertx,
+            RelaySettings settings,
+            String readinessPath,
+            PrometheusMeterRegistry registry,
+            BooleanSupplier complete) {
+        this.vertx = vertx;
+        this.settings = settings;
+        this.readinessPath = readinessPath;
+        this.registry = registry;
+        this.complete = complete;
+    }
+
+    Future<Void> listen() {
+        return vertx.createHttpServer()
+                .requestHandler(this::readiness)
+                .listen(settings.readiness())
+                .compose(done ->
+                        vertx.createHttpServer().requestHandler(this::metrics).listen(settings.metrics()))
+                .mapEmpty();
+    }
+
+    void stopping() {
+        stopping = true;
+    }
+
+    private void readiness(HttpServerRequest request) {
+        boolean known = request.path().equals(readinessPath);
+        boolean ready = !stopping && complete.getAsBoolean();
+        int status = ready ? 200 : 503;
+        request.response().setStatusCode(known ? status : 404).end();
+    }
+
+    private void metrics(HttpServerRequest request) {
+        if (request.path().equals(METRICS_PATH)) {
+            request.response().putHeader("Content-Type", METRICS_TYPE).end(registry.scrape());
+        } else {
+            request.response().setStatusCode(404).end();
+        }
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/endivehold/relay/engine/EngineBoard.java
@@ -0,0 +1,151 @@
+package org.endivehold.relay.engine;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.endivehold.relay.route.EngineProfile;
+
+/**
+ * The requests that lie at the engines, own ones and those that other daemons told of.
+ *
+ * <p>Own requests are exact. What others told is as old as their last message, and is dropped when it is too old to be
+ * still running, so that a daemon that dies takes no engine with it.
+ */
+public final class EngineBoard {
+    /** Extra time after the predicted end at which a request of another daemon is forgotten, in milliseconds. */
+    private static final double FORGET_AFTER_MILLIS = 5_000;
+
+    private final Map<String, EngineLoad> loads = new HashMap<>();
+    private final Map<JobId, Entry> jobs = new LinkedHashMap<>();
+
+    private record Entry(EngineJob job, double expiresAt) {}
+
+    /** States that an engine exists and how fast it is. */
+    public void engine(String id, EngineProfile profile) {
+        EngineLoad known = loads.get(id);
+        if (known == null || !known.profile().equals(profile)) {
+            loads.put(id, new EngineLoad(profile));
+        }
+    }
+
+    /** Forgets engines that are gone. */
+    public void retain(Collection<String> engines) {
+        loads.entrySet()
+                .removeIf(e -> !engines.contains(e.getKey()) && e.getValue().idle());
+    }
+
+    /**
+     * Adds a request that was sent to engines.
+     *
+     * @param job the request
+     * @param now time in milliseconds
+     * @param pace how many times slower than its profile the writing engine is
+     */
+    public void add(EngineJob job, double now, double pace) {
+        if (jobs.containsKey(job.id())) {
+            return;
+        }
+        double end = now + FORGET_AFTER_MILLIS;
+        for (String engine : job.engines()) {
+            EngineLoad load = loads.get(engine);
+            if (load != null) {
+                load.add(job, now, pace);
+                end = Math.max(end, now + 2 * predictedRun(load, job) + FORGET_AFTER_MILLIS);
+            }
+        }
+        jobs.put(job.id(), new Entry(job, end));
+    }
+
+    private static double predictedRun(EngineLoad load, EngineJob job) {
+        EngineProfile profile = load.profile();
+        double passes = (double) job.outputTokens() / profile.stride() + 1;
+        return profile.readMillis(job.promptTokens(), job.engines().size()) + passes * load.passMillis();
+    }
+
+    /** Notes that a request produced its first token: the read is over. */
+    public void firstToken(JobId id) {
+        Entry entry = jobs.get(id);
+        if (entry == null) {
+            return;
+        }
+        for (String engine : entry.job().engines()) {
+            EngineLoad load = loads.get(engine);
+            if (load != null) {
+                load.firstToken(id, engine);
+            }
+        }
+    }
+
+    /** Removes a request that ended. */
+    public void remove(JobId id) {
+        Entry entry = jobs.remove(id);
+        if (entry == null) {
+            return;
+        }
+        for (String engine : entry.job().engines()) {
+            EngineLoad load = loads.get(engine);
+            if (load != null) {
+                load.remove(id);
+            }
+        }
+    }
+
+    /** Removes all requests of a daemon, or of an earlier start of it. */
+    public void removeDaemon(String daemon) {
+        for (JobId id : new ArrayList<>(jobs.keySet())) {
+            if (id.daemon().equals(daemon)) {
+                remove(id);
+            }
+        }
+    }
+
+    /** Removes requests of other daemons that must have ended. */
+    public void expire(double now, String self) {
+        List<JobId> old = new ArrayList<>();
+        jobs.forEach((id, entry) -> {
+            if (entry.expiresAt() < now && !id.daemon().equals(self)) {
+                old.add(id);
+            }
+        });
+        old.forEach(this::remove);
+    }
+
+    /** Returns the requests of one daemon. */
+    public List<EngineJob> jobsOf(String daemon) {
+        return jobs.values().stream()
+                .map(Entry::job)
+                .filter(job -> job.id().daemon().equals(daemon))
+                .toList();
+    }
+
+    /** Tells whether a request has produced its first token. */
+    public boolean writing(JobId id) {
+        Entry entry = jobs.get(id);
+        if (entry == null) {
+            return false;
+        }
+        EngineLoad load = loads.get(entry.job().writer());
+        if (load == null) {
+            return false;
+        }
+        for (EnginePart part : load.parts()) {
+            if (part.job.id().equals(id)) {
+                return part.writing;
+            }
+        }
+        return false;
+    }
+
+    /** Counts the requests that hold a slot of an engine. */
+    public int occupied(String engine) {
+        EngineLoad load = loads.get(engine);
+        return load == null ? 0 : load.occupied(engine);
+    }
+
+    EngineLoad load(String engine) {
+        return loads.get(engine);
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/endivehold/relay/engine/EngineLoad.java
@@ -0,0 +1,127 @@
+package org.endivehold.relay.engine;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.endivehold.relay.route.EngineProfile;
+
+/**
+ * The work that is known to lie at one engine.
+ *
+ * <p>An engine works in passes. A pass reads every prompt that waits when it begins and, if a request is writing, runs
+ * some steps for all writers. A writer's pause is therefore the length of a pass, and what a new prompt costs is the
+ * time of its read, added to the next pass of everybody there.
+ */
+final class EngineLoad {
+    /** Part of a read that is taken to be left when the predicted time is over. */
+    static final double OVERDUE_SHARE = 0.15;
+
+    private final Map<JobId, EnginePart> parts = new HashMap<>();
+    private final EngineProfile profile;
+    private int writers;
+    private double context;
+
+    EngineLoad(EngineProfile profile) {
+        this.profile = profile;
+    }
+
+    EngineProfile profile() {
+        return profile;
+    }
+
+    /** Adds the part of a request; the first part of a request stays after its read and writes. */
+    void add(EngineJob job, double now, double pace) {
+        if (parts.containsKey(job.id())) {
+            return;
+        }
+        int count = job.engines().size();
+        double read = profile.readMillis(job.promptTokens(), count) * pace;
+        double start = now + startDelay(now, count > 1);
+        parts.put(job.id(), new EnginePart(job, read, now, start));
+    }
+
+    void firstToken(JobId id, String engine) {
+        EnginePart part = parts.get(id);
+        if (part == null || part.writing) {
+            return;
+        }
+        if (!part.job.writer().equals(engine)) {
+            parts.remove(id);
+            return;
+        }
+        part.writing = true;
+        writers++;
+        context += part.job.promptTokens();
+    }
+
+    void remove(JobId id) {
+        EnginePart part = parts.remove(id);
+        if (part != null && part.writing) {
+            writers--;
+            context -= part.job.promptTokens();
+        }
+    }
+
+    Iterable<EnginePart> parts() {
+        return parts.values();
+    }
+
+    boolean idle() {
+        return parts.isEmpty();
+    }
+
+    /** Counts the requests that hold a slot here. */
+    int occupied(String engine) {
+        int count = 0;
+        for (EnginePart part : parts.values()) {
+            if (part.writing || part.job.writer().equals(engine)) {
+                count++;
+            }
+        }
+        return count;
+    }
+
+    /** Sums the memory that requests here need. */
+    double memoryTokens(String engine) {
+        double sum = 0;
+        for (EnginePart part : parts.values()) {
+            if (part.job.writer().equals(engine)) {
+                sum += part.job.promptTokens() + part.job.outputTokens();
+            }
+        }
+        return sum;
+    }
+
+    /** Predicts the length of a pass without reads. */
+    double passMillis() {
+        return profile.passMillis(writers, context);
+    }
+
+    /** Predicts when a read that is placed now would begin. A part of a divided prompt goes before whole prompts. */
+    double startDelay(double now, boolean split) {
+        double inPass = 0;
+        double waiting = 0;
+        for (EnginePart part : parts.values()) {
+            if (part.writing) {
+                continue;
+            }
+            if (part.started(now)) {
+                inPass += part.leftMillis(now);
+            } else if (!split || part.split) {
+                waiting += part.readMillis;
+            }
+        }
+        double current = writers > 0 ? passMillis() / 2 : 0;
+        return current + inPass + waiting;
+    }
+
+    /** Sums the reads that the next pass will do, as far as they are known. */
+    double nextPassReads(double now) {
+        double sum = 0;
+        for (EnginePart part : parts.values()) {
+            if (!part.writing && !part.started(now)) {
+                sum += part.readMillis;
+            }
+        }
+        return sum;
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/endivehold/relay/limit/SlidingCount.java
@@ -0,0 +1,22 @@
+package org.endivehold.relay.limit;
+
+/** Counts events in a sliding span of time. */
+final class SlidingCount {
+    private final double spanMillis;
+    private final java.util.ArrayDeque<Double> times = new java.util.ArrayDeque<>();
+
+    SlidingCount(double spanMillis) {
+        this.spanMillis = spanMillis;
+    }
+
+    void add(double now) {
+        times.addLast(now);
+    }
+
+    int count(double now) {
+        while (!times.isEmpty() && times.peekFirst() <= now - spanMillis) {
+            times.removeFirst();
+        }
+        return times.size();
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/endivehold/relay/serve/EngineWork.java
@@ -0,0 +1,104 @@
+package org.endivehold.relay.serve;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.endivehold.misc.Ticker;
+import org.endivehold.relay.engine.EngineBoard;
+import org.endivehold.relay.engine.EngineCandidate;
+import org.endivehold.relay.engine.EngineJob;
+import org.endivehold.relay.engine.EnginePlacement;
+import org.endivehold.relay.engine.JobId;
+import org.endivehold.relay.engine.Placement;
+import org.endivehold.relay.engine.PromptNeed;
+import org.endivehold.relay.peer.PeerMessage;
+
+/** Work at engines: places requests, keeps account of them, tells other daemons and hears of theirs. */
+public final class EngineWork {
+    private final EngineBoard board = new EngineBoard();
+    private final Ticker ticker;
+    private final String self;
+    private final Consumer<PeerMessage> peers;
+    private final List<Runnable> listeners = new ArrayList<>();
+    private long next;
+
+    /**
+     * Creates the account.
+     *
+     * @param ticker the clock
+     * @param self name of this daemon with the number of its start
+     * @param peers tells other daemons
+     */
+    public EngineWork(Ticker ticker, String self, Consumer<PeerMessage> peers) {
+        this.ticker = ticker;
+        this.self = self;
+        this.peers = peers;
+    }
+
+    /** Returns the account itself. */
+    public EngineBoard board() {
+        return board;
+    }
+
+    /** Adds something to run when work has ended somewhere. */
+    public void onRoom(Runnable listener) {
+        listeners.add(listener);
+    }
+
+    Optional<Placement> place(List<EngineCandidate> candidates, PromptNeed need) {
+        return EnginePlacement.place(board, candidates, need, (double) ticker.millis());
+    }
+
+    EngineJob begin(Placement placement, PromptNeed need, double pace) {
+        EngineJob job = new EngineJob(
+                new JobId(self, next++),
+                placement.engines(),
+                need.promptTokens(),
+                need.outputTokens(),
+                need.firstAimMillis(),
+                need.gapAimMillis());
+        board.add(job, (double) ticker.millis(), pace);
+        peers.accept(new PeerMessage.JobPlaced(job, false));
+        return job;
+    }
+
+    void firstToken(EngineJob job) {
+        board.firstToken(job.id());
+        peers.accept(new PeerMessage.JobWriting(job.id()));
+        listeners.forEach(Runnable::run);
+    }
+
+    void end(EngineJob job) {
+        board.remove(job.id());
+        peers.accept(new PeerMessage.JobEnded(job.id()));
+        listeners.forEach(Runnable::run);
+    }
+
+    /** Returns what a daemon that connects has to know of this one's work. */
+    public List<PeerMessage> introduction() {
+        List<PeerMessage> messages = new ArrayList<>();
+        for (EngineJob job : board.jobsOf(self)) {
+            messages.add(new PeerMessage.JobPlaced(job, board.writing(job.id())));
+        }
+        return messages;
+    }
+
+    /** Takes what another daemon told; returns whether it was about work. */
+    public boolean told(PeerMessage message) {
+        if (message instanceof PeerMessage.JobPlaced placed) {
+            board.add(placed.job(), (double) ticker.millis(), 1);
+            if (placed.writing()) {
+                board.firstToken(placed.job().id());
+            }
+        } else if (message instanceof PeerMessage.JobWriting writing) {
+            board.firstToken(writing.id());
+        } else if (message instanceof PeerMessage.JobEnded ended) {
+            board.remove(ended.id());
+            listeners.forEach(Runnable::run);
+        } else {
+            return false;
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/endivehold/relay/serve/EventSplitter.java
@@ -0,0 +1,71 @@
+package org.endivehold.relay.serve;
+
+import io.vertx.core.buffer.Buffer;
+import java.nio.charset.StandardCharsets;
+import java.util.OptionalLong;
+import java.util.function.BiConsumer;
+
+/**
+ * Cuts the bytes of an event stream into whole events, each with its id.
+ *
+ * <p>An event ends with an empty line. Its bytes are passed on unchanged. Bytes of an event that has not ended stay
+ * here, so a stream that breaks off inside an event never shows a part of it.
+ */
+final class EventSplitter {
+    private static final byte LINE_END = '\n';
+    private static final byte RETURN = '\r';
+
+    private final BiConsumer<OptionalLong, Buffer> events;
+    private Buffer pending = Buffer.buffer();
+    private int scanned;
+    private int lineStart;
+
+    EventSplitter(BiConsumer<OptionalLong, Buffer> events) {
+        this.events = events;
+    }
+
+    /** Takes the next bytes of the stream. */
+    void feed(Buffer bytes) {
+        pending.appendBuffer(bytes);
+        int eventStart = 0;
+        for (; scanned < pending.length(); scanned++) {
+            if (pending.getByte(scanned) != LINE_END) {
+                continue;
+            }
+            if (emptyLine() && lineStart > eventStart) {
+                Buffer event = pending.getBuffer(eventStart, scanned + 1);
+                eventStart = scanned + 1;
+                events.accept(id(event), event);
+            }
+            lineStart = scanned + 1;
+        }
+        if (eventStart > 0) {
+            pending = pending.getBuffer(eventStart, pending.length());
+            scanned -= eventStart;
+            lineStart -= eventStart;
+        }
+    }
+
+    /** Tells whether bytes of an event that has not ended are left. */
+    boolean partial() {
+        return pending.length() > 0;
+    }
+
+    private boolean emptyLine() {
+        int length = scanned - lineStart;
+        return length == 0 || (length == 1 && pending.getByte(lineStart) == RETURN);
+    }
+
+    private static OptionalLong id(Buffer event) {
+        for (String line : event.toString(StandardCharsets.UTF_8).lines().toList()) {
+            if (line.startsWith("id:")) {
+                try {
+                    return OptionalLong.of(Long.parseLong(line.substring(3).trim()));
+                } catch (NumberFormatException e) {
+                    return OptionalLong.empty();
+                }
+            }
+        }
+        return OptionalLong.empty();
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/endivehold/relay/serve/RelayContext.java
@@ -0,0 +1,43 @@
+package org.endivehold.relay.serve;
+
+import io.vertx.core.Vertx;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.endivehold.misc.Ticker;
+import org.endivehold.relay.limit.ColdLimit;
+import org.endivehold.relay.limit.RetryShare;
+import org.endivehold.relay.limit.UpstreamHealth;
+import org.endivehold.relay.state.FleetView;
+
+/**
+ * What requests are served with.
+ *
+ * @param vertx the event loop
+ * @param ticker the clock
+ * @param random source of weights and jitter
+ * @param fleet what is known of the fleet
+ * @param dialect how headers are named
+ * @param bounds limits of this deployment
+ * @param engines work at engines, here and at other daemons
+ * @param health what own requests show of upstreams
+ * @param cold share of the limit on cold upstreams
+ * @param retries share of the retry budget
+ * @param daemons other daemons
+ * @param metrics counters and histograms
+ */
+public record RelayContext(
+        Vertx vertx,
+        Ticker ticker,
+        UniformRandomProvider random,
+        FleetView fleet,
+        Dialect dialect,
+        RelayBounds bounds,
+        EngineWork engines,
+        UpstreamHealth health,
+        ColdLimit cold,
+        RetryShare retries,
+        DaemonCount daemons,
+        RelayMetrics metrics) {
+    double now() {
+        return ticker.millis();
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/endivehold/relay/serve/StreamFlow.java
@@ -0,0 +1,429 @@
+package org.endivehold.relay.serve;
+
+import io.vertx.core.MultiMap;
+import io.vertx.core.buffer.Buffer;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.endivehold.error.ErrorType;
+import org.endivehold.misc.LogEvent;
+import org.endivehold.relay.engine.EngineCandidate;
+import org.endivehold.relay.engine.EngineJob;
+import org.endivehold.relay.engine.Placement;
+import org.endivehold.relay.engine.PromptNeed;
+import org.endivehold.relay.route.Customer;
+import org.endivehold.relay.route.RelayRoute;
+import org.endivehold.relay.route.RelayService;
+import org.endivehold.relay.state.Upstream;
+import org.jboss.logging.Logger;
+
+/**
+ * Serves a generation: waits for room at the engines, has the prompt read by one or several of them, passes on whole
+ * events, and resumes a stream that breaks at another engine where the route allows it.
+ */
+final class StreamFlow implements Flow, UpstreamAttempt.Listener {
+    /** Sends of one request, with those that did not run. */
+    private static final int MAX_SENDS = 5;
+    /** Silence before the first event beyond the prediction that ends an attempt, in milliseconds. */
+    private static final double FIRST_SILENCE_MILLIS = 1_800;
+    /** How many times the prediction the first event may take beside that silence. */
+    private static final double FIRST_SILENCE_FACTOR = 3;
+    /** Shortest silence between events that ends an attempt, in milliseconds. */
+    private static final double GAP_SILENCE_MILLIS = 1_200;
+    /** Silence between events that ends an attempt, in aims of the route. */
+    private static final double GAP_SILENCE_AIMS = 2;
+    /** Time for which an engine that was full gets nothing from this request's daemon, in milliseconds. */
+    private static final double FULL_MILLIS = 150;
+    /** Part of the remaining time that a request may wait for room. */
+    private static final double WAIT_SHARE = 0.3;
+    /** Cost of sending a prompt to a cold engine, as a part of the request's weight. */
+    private static final double COLD_PENALTY = 0.5;
+    /** Cost of sending a prompt to an engine all of whose recent requests failed, as a part of the weight. */
+    private static final double FAILING_PENALTY = 1.5;
+
+    private static final Logger log = Logger.getLogger(StreamFlow.class);
+
+    private final RelayContext context;
+    private final Exchange exchange;
+    private final UpstreamClient client;
+    private final UpstreamClient.Outgoing outgoing;
+    private final RelayService service;
+    private final WaitingRoom waiting;
+    private final Set<String> failed = new HashSet<>();
+    private UpstreamAttempt attempt;
+    private EngineJob job;
+    private Placement placement;
+    private AnswerFacts facts;
+    private MultiMap headers;
+    private Buffer refusal = Buffer.buffer();
+    private EventSplitter splitter;
+    private OptionalLong lastEvent;
+    private boolean joining;
+    private int sends;
+    private int runs;
+    private double sentAt;
+    private double heardAt;
+    private boolean attemptFirst;
+    private long silenceTimer = -1;
+    private final PaceMeter pace = new PaceMeter();
+
+    StreamFlow(
+            RelayContext context,
+            Exchange exchange,
+            UpstreamClient client,
+            UpstreamClient.Outgoing outgoing,
+            RelayService service,
+            WaitingRoom waiting) {
+        this.context = context;
+        this.exchange = exchange;
+        this.client = client;
+        this.outgoing = outgoing;
+        this.service = service;
+        this.waiting = waiting;
+        this.lastEvent = exchange.facts().resumeAfter();
+    }
+
+    @Override
+    public void start() {
+        context.retries().request(service.name(), context.now());
+        if (!dispatch()) {
+            waiting.add(this);
+        }
+    }
+
+    @Override
+    public void cancel() {
+        waiting.remove(this);
+        endAttempt();
+        if (attempt != null) {
+            attempt.cancel();
+        }
+    }
+
+    /** Tells whether this request has waited for room as long as it may. */
+    boolean waitedTooLong() {
+        double waited = exchange.elapsedMillis();
+        return waited > WAIT_SHARE * (waited + exchange.remainingMillis());
+    }
+
+    /** Refuses the request, which has found no room. */
+    void refuse() {
+        exchange.note("no-room");
+        giveUp(ErrorType.NO_UPSTREAM);
+    }
+
+    PromptNeed need() {
+        RelayRoute route = exchange.route();
+        double gapAim = route.gapTargetMillis() > 0 ? route.gapTargetMillis() : route.targetMillis();
+        return new PromptNeed(
+                exchange.facts().promptTokens(),
+                exchange.facts().outputTokens(),
+                route.targetMillis(),
+                gapAim,
+                exchange.elapsedMillis());
+    }
+
+    /** Sends the request if there is room; returns whether it was sent or has ended. */
+    boolean dispatch() {
+        if (exchange.ended()) {
+            return true;
+        }
+        PromptNeed need = need();
+        Optional<Placement> found = context.engines().place(candidates(), need);
+        if (found.isEmpty()) {
+            return false;
+        }
+        Optional<Upstream> writer =
+                context.fleet().upstream(found.get().engines().get(0));
+        if (writer.isEmpty()) {
+            return false;
+        }
+        send(found.get(), writer.get(), need);
+        return true;
+    }
+
+    private List<EngineCandidate> candidates() {
+        double now = context.now();
+        double weight = EngineJob.weight(exchange.facts().promptTokens());
+        List<EngineCandidate> usable = new ArrayList<>();
+        List<EngineCandidate> ejected = new ArrayList<>();
+        for (Upstream upstream : context.fleet().upstreams(service.name())) {
+            String id = upstream.id();
+            boolean cold = upstream.cold(now);
+            if (failed.contains(id) || (cold && !coldAllows(upstream, now))) {
+                continue;
+            }
+            service.engine().ifPresent(profile -> context.engines().board().engine(id, profile));
+            double penalty = weight * (FAILING_PENALTY * context.health().failing(id, now) + (cold ? COLD_PENALTY : 0));
+            EngineCandidate candidate = new EngineCandidate(id, context.health().pace(id, now), penalty);
+            (context.health().ejected(id, now) ? ejected : usable).add(candidate);
+        }
+        return usable.isEmpty() ? ejected : usable;
+    }
+
+    private boolean coldAllows(Upstream upstream, double now) {
+        double bound = service.coldPerSecond() * context.bounds().coldOverage()
+                + context.bounds().coldSlack();
+        DaemonCount daemons = context.daemons();
+        return service.coldPerSecond() <= 0
+                || context.cold().allows(upstream.id(), bound, daemons.names(), daemons.spare(), now);
+    }
+
+    private void send(Placement found, Upstream writer, PromptNeed need) {
+        double now = context.now();
+        placement = found;
+        facts = null;
+        refusal = Buffer.buffer();
+        splitter = new EventSplitter(this::event);
+        joining = exchange.begun();
+        attemptFirst = false;
+        sends++;
+        sentAt = now;
+        heardAt = now;
+        List<String> helpers = new ArrayList<>();
+        for (String id : found.engines()) {
+            Optional<Upstream> upstream = context.fleet().upstream(id);
+            if (upstream.isPresent() && upstream.get().cold(now)) {
+                context.cold().sent(id, now);
+            }
+            if (!id.equals(writer.id())) {
+                upstream.ifPresent(u -> helpers.add(
+                        u.entry().address().host() + ":" + u.entry().address().port()));
+            }
+        }
+        job = context.engines().begin(found, need, context.health().pace(writer.id(), now));
+        exchange.note("sent:" + writer.id() + "+" + helpers.size() + ":predicted="
+                + Math.round(found.firstMillis()) + ":cost=" + Math.round(found.cost() * 100) / 100.0 + ":at="
+                + Math.round(exchange.elapsedMillis()));
+        UpstreamCall call = new UpstreamCall(
+                writer.id(),
+                Math.max(1, exchange.remainingMillis()),
+                exchange.customer().map(Customer::name),
+                helpers,
+                lastEvent);
+        attempt = client.send(outgoing, writer, call, this);
+        watchSilence();
+    }
+
+    private void watchSilence() {
+        double limit = attemptFirst
+                ? Math.max(GAP_SILENCE_MILLIS, GAP_SILENCE_AIMS * need().gapAimMillis())
+                : FIRST_SILENCE_MILLIS + FIRST_SILENCE_FACTOR * placement.firstMillis();
+        double left = heardAt + limit - context.now();
+        silenceTimer = context.vertx().setTimer(Math.max(1, (long) left), timer -> {
+            silenceTimer = -1;
+            if (context.now() - heardAt < limit - 1) {
+                watchSilence();
+            } else {
+                silent();
+            }
+        });
+    }
+
+    private void silent() {
+        if (exchange.ended() || attempt.ended() || !mayResume()) {
+            return;
+        }
+        exchange.note("silent:" + Math.round(context.now() - heardAt));
+        attempt.cancel();
+        afterRun("silent");
+    }
+
+    @Override
+    public void notSent(Throwable cause) {
+        endAttempt();
+        markFailed(placement.engines().get(0));
+        exchange.note("unreached");
+        again("unreached", false, ErrorType.UPSTREAM_UNREACHABLE);
+    }
+
+    @Override
+    public void head(AnswerFacts answer, MultiMap answerHeaders) {
+        facts = answer;
+        headers = answerHeaders;
+    }
+
+    @Override
+    public void data(Buffer bytes) {
+        if (facts.success() && facts.genuine(exchange.facts().attempt())) {
+            splitter.feed(bytes);
+        } else {
+            refusal.appendBuffer(bytes);
+        }
+    }
+
+    private void event(OptionalLong id, Buffer bytes) {
+        if (exchange.ended() || attempt.ended()) {
+            return;
+        }
+        double now = context.now();
+        if (!attemptFirst) {
+            attemptFirst = true;
+            context.engines().firstToken(job);
+            context.health().answered(job.writer(), now);
+            double seen = now - sentAt;
+            LogEvent.of("first-event")
+                    .with("request", exchange.facts().attempt())
+                    .with("engine", job.writer())
+                    .with("engines", job.engines().size())
+                    .with("prompt", job.promptTokens())
+                    .with("predicted_ms", Math.round(placement.firstMillis()))
+                    .with("seen_ms", Math.round(seen))
+                    .debug(log);
+        } else {
+            pace.gap(now - heardAt);
+            pace.factor(service.engine().orElseThrow().passMillis(1, (double) job.promptTokens()))
+                    .ifPresent(factor -> context.health().pace(job.writer(), factor, now));
+        }
+        heardAt = now;
+        if (id.isPresent() && lastEvent.isPresent() && id.getAsLong() <= lastEvent.getAsLong()) {
+            return;
+        }
+        if (joining && id.isPresent() && lastEvent.isPresent() && id.getAsLong() != lastEvent.getAsLong() + 1) {
+            exchange.note("gap");
+            attempt.cancel();
+            afterRun("gap");
+            return;
+        }
+        joining = false;
+        exchange.begin(facts.status(), headers);
+        exchange.event(bytes);
+        lastEvent = id;
+    }
+
+    @Override
+    public void complete() {
+        AnswerFacts answer = facts;
+        if (answer.foreign(exchange.facts().attempt())) {
+            endAttempt();
+            exchange.note("foreign");
+            afterRun("foreign");
+        } else if (answer.refused()) {
+            endAttempt();
+            refused(answer);
+        } else if (!answer.genuine(exchange.facts().attempt())) {
+            endAttempt();
+            exchange.note("unsigned");
+            afterRun("unsigned");
+        } else if (!answer.success()) {
+            endAttempt();
+            failure(answer);
+        } else if (splitter.partial() || !attemptFirst) {
+            endAttempt();
+            exchange.note("partial");
+            afterRun("partial");
+        } else {
+            endAttempt();
+            exchange.complete();
+        }
+    }
+
+    private void refused(AnswerFacts answer) {
+        String culprit = placement.engines().get(0);
+        if (answer.faultAddress().isPresent()) {
+            culprit = engineAt(answer.faultAddress().get()).orElse(culprit);
+        }
+        exchange.note("refused:" + answer.status() + ":" + culprit);
+        if (answer.status() == 503 && culprit.equals(placement.engines().get(0))) {
+            context.health().eject(culprit, context.now() + FULL_MILLIS, context.now());
+        } else {
+            context.health().failed(culprit, context.now());
+        }
+        again("refused", true, ErrorType.UPSTREAM_REFUSED);
+    }
+
+    private Optional<String> engineAt(String address) {
+        for (String id : placement.engines()) {
+            Optional<Upstream> upstream = context.fleet().upstream(id);
+            if (upstream.isPresent()
+                    && address.equals(upstream.get().entry().address().host() + ":"
+                            + upstream.get().entry().address().port())) {
+                return Optional.of(id);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** The engine ran the request and failed. */
+    private void failure(AnswerFacts answer) {
+        exchange.note("failed:" + answer.status());
+        context.health().answeredWithFailure(job.writer(), context.now());
+        if (answer.failure() && mayResume()) {
+            afterRun("failed");
+            return;
+        }
+        if (answer.status() == 503 || answer.status() == 429 || answer.status() == 408 || exchange.begun()) {
+            exchange.fail(502, ErrorType.UPSTREAM_BROKEN, 0);
+        } else {
+            exchange.answer(answer.status(), headers, refusal);
+        }
+    }
+
+    @Override
+    public void broken(Throwable cause) {
+        exchange.note("broken");
+        afterRun("broken");
+    }
+
+    /** Goes on after an attempt that may have run. */
+    private void afterRun(String cause) {
+        endAttempt();
+        markFailed(placement.engines().get(0));
+        boolean repeatable = mayResume();
+        runs++;
+        if (repeatable) {
+            again(cause, true, ErrorType.UPSTREAM_BROKEN);
+        } else {
+            exchange.fail(502, ErrorType.UPSTREAM_BROKEN, 0);
+        }
+    }
+
+    private boolean mayResume() {
+        return exchange.route().idempotent() && runs + 1 < exchange.route().maxAttempts() && sends < MAX_SENDS;
+    }
+
+    private void again(String cause, boolean arrived, ErrorType type) {
+        if (exchange.ended()) {
+            return;
+        }
+        boolean allowed = sends < MAX_SENDS
+                && context.retries().take(service.name(), context.daemons().divisor(), context.now());
+        if (!allowed) {
+            exchange.note(arrived ? "no-budget" : "no-sends");
+            giveUp(type);
+            return;
+        }
+        context.metrics().repeated(cause);
+        if (!dispatch()) {
+            waiting.add(this);
+        }
+    }
+
+    private void giveUp(ErrorType type) {
+        if (runs > 0 || exchange.begun()) {
+            exchange.fail(502, type, 0);
+        } else {
+            exchange.refuse(type, waiting.retryAfterMillis());
+        }
+    }
+
+    private void markFailed(String engine) {
+        failed.add(engine);
+        context.health().failed(engine, context.now());
+    }
+
+    private void endAttempt() {
+        if (silenceTimer >= 0) {
+            context.vertx().cancelTimer(silenceTimer);
+            silenceTimer = -1;
+        }
+        if (job != null) {
+            EngineJob over = job;
+            job = null;
+            context.engines().end(over);
+        }
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/endivehold/relay/serve/package-info.java
@@ -0,0 +1,2 @@
+/** Requests of callers: how they are read, sent to upstreams, repeated or resumed, and answered. */
+package org.endivehold.relay.serve;
--- /dev/null
+++ b/relay/src/main/java/org/endivehold/relay/state/FleetState.java
@@ -0,0 +1,237 @@
+package org.endivehold.relay.state;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.DoubleSupplier;
+import org.endivehold.error.EndiveholdException;
+import org.endivehold.misc.LogEvent;
+import org.endivehold.misc.Ticker;
+import org.endivehold.relay.route.RoutingTable;
+import org.endivehold.relay.route.UpstreamEntry;
+import org.jboss.logging.Logger;
+
+/**
+ * The fleet as the store's items describe it.
+ *
+ * <p>The version of the configuration in force never falls. Entries of upstreams that vanish around an outage of the
+ * store are kept for a grace: their leases may have lapsed although the upstreams live, and those that live write their
+ * entries again soon after the store's return.
+ */
+public final class FleetState implements FleetView, ItemListener {
+    /** How long a vanished entry stays in use after the store's return, in milliseconds; then it is taken as gone. */
+    static final double LAPSE_GRACE_MILLIS = 1_900;
+
+    private static final Logger log = Logger.getLogger(FleetState.class);
+
+    private final StoreDecoder decoder;
+    private final Ticker ticker;
+    private final DoubleSupplier sinceOutageMillis;
+    private final Map<String, Upstream> upstreams = new HashMap<>();
+    private final Set<String> lapsed = new HashSet<>();
+    private final Map<String, List<Upstream>> byService = new HashMap<>();
+    private final Set<String> zonesOut = new HashSet<>();
+    private final List<Runnable> listeners = new ArrayList<>();
+    private RoutingTable table;
+    private boolean indexed;
+    private boolean upstreamsRead;
+
+    /**
+     * Creates an empty state.
+     *
+     * @param decoder reads the store's values
+     * @param ticker the clock
+     * @param sinceOutageMillis time since the store's last outage ended; 0 during one
+     */
+    public FleetState(StoreDecoder decoder, Ticker ticker, DoubleSupplier sinceOutageMillis) {
+        this.decoder = decoder;
+        this.ticker = ticker;
+        this.sinceOutageMillis = sinceOutageMillis;
+    }
+
+    /** Adds something to run after each change. */
+    public void onChange(Runnable listener) {
+        listeners.add(listener);
+    }
+
+    /** Tells whether a configuration and the list of upstreams are known. */
+    public boolean complete() {
+        return table != null && upstreamsRead;
+    }
+
+    @Override
+    public Optional<RoutingTable> table() {
+        return Optional.ofNullable(table);
+    }
+
+    @Override
+    public Collection<Upstream> upstreams(String service) {
+        dropLapsed();
+        if (!indexed) {
+            index();
+        }
+        return byService.getOrDefault(service, List.of());
+    }
+
+    @Override
+    public Optional<Upstream> upstream(String id) {
+        return Optional.ofNullable(upstreams.get(id));
+    }
+
+    @Override
+    public Set<String> zonesOut() {
+        return Set.copyOf(zonesOut);
+    }
+
+    /** Returns the ids of all known upstreams. */
+    public Set<String> ids() {
+        return upstreams.keySet();
+    }
+
+    @Override
+    public void written(SharedStore.Item item) {
+        String key = item.key();
+        if (key.equals(decoder.configurationKey())) {
+            configure(item);
+        } else if (key.startsWith(decoder.zoneOutPrefix())) {
+            String zone = key.substring(decoder.zoneOutPrefix().length());
+            zonesOut.add(zone);
+            LogEvent.of("zone-out")
+                    .with("zone", zone)
+                    .with("revision", item.revision())
+                    .info(log);
+            changed();
+        } else if (key.startsWith(decoder.upstreamPrefix())) {
+            register(key.substring(decoder.upstreamPrefix().length()), item);
+        }
+    }
+
+    @Override
+    public void removed(String key) {
+        if (key.startsWith(decoder.zoneOutPrefix())) {
+            String zone = key.substring(decoder.zoneOutPrefix().length());
+            zonesOut.remove(zone);
+            LogEvent.of("zone-in").with("zone", zone).info(log);
+            changed();
+        } else if (key.startsWith(decoder.upstreamPrefix())) {
+            vanish(key.substring(decoder.upstreamPrefix().length()));
+        }
+    }
+
+    @Override
+    public void current(WatchedPrefix copy) {
+        if (copy.prefix().equals(decoder.upstreamPrefix()) && !upstreamsRead) {
+            upstreamsRead = true;
+            changed();
+        }
+    }
+
+    private void configure(SharedStore.Item item) {
+        try {
+            RoutingTable read = decoder.configuration(item.value());
+            if (table != null && read.version() < table.version()) {
+                LogEvent.of("configuration-older")
+                        .with("version", read.version())
+                        .with("in_force", table.version())
+                        .warn(log);
+                return;
+            }
+            table = read;
+            LogEvent.of("configuration-in-force")
+                    .with("version", read.version())
+                    .with("revision", item.revision())
+                    .with("routes", read.size())
+                    .info(log);
+            changed();
+        } catch (EndiveholdException e) {
+            LogEvent.of("configuration-unreadable")
+                    .with("revision", item.revision())
+                    .with("reason", e.getMessage())
+                    .warn(log);
+        }
+    }
+
+    private void register(String id, SharedStore.Item item) {
+        try {
+            UpstreamEntry entry = decoder.upstream(id, item.value());
+            Upstream known = upstreams.get(id);
+            double coldUntil = ticker.millis() + entry.coldMillis();
+            upstreams.put(id, new Upstream(entry, coldUntil));
+            lapsed.remove(id);
+            if (known == null
+                    || known.entry().leaving() != entry.leaving()
+                    || !known.entry().address().equals(entry.address())) {
+                LogEvent.of("upstream-registered")
+                        .with("upstream", id)
+                        .with("service", entry.service())
+                        .with("address", entry.address())
+                        .with("zone", entry.zone())
+                        .with("leaving", entry.leaving())
+                        .with("cold_ms", entry.coldMillis())
+                        .with("revision", item.revision())
+                        .info(log);
+            }
+        } catch (EndiveholdException e) {
+            upstreams.remove(id);
+            LogEvent.of("upstream-unreadable")
+                    .with("upstream", id)
+                    .with("revision", item.revision())
+                    .with("reason", e.getMessage())
+                    .warn(log);
+        }
+        changed();
+    }
+
+    private void vanish(String id) {
+        if (!upstreams.containsKey(id)) {
+            return;
+        }
+        double sinceOutage = sinceOutageMillis.getAsDouble();
+        boolean kept =
+                sinceOutage < LAPSE_GRACE_MILLIS && !upstreams.get(id).entry().leaving();
+        LogEvent.of("upstream-vanished")
+                .with("upstream", id)
+                .with("since_outage_ms", Math.round(Math.min(sinceOutage, Integer.MAX_VALUE)))
+                .with("kept", kept)
+                .info(log);
+        if (kept) {
+            lapsed.add(id);
+        } else {
+            upstreams.remove(id);
+        }
+        changed();
+    }
+
+    /** Drops entries whose grace is over. While the store is out, the grace has not begun. */
+    private void dropLapsed() {
+        if (!lapsed.isEmpty() && sinceOutageMillis.getAsDouble() >= LAPSE_GRACE_MILLIS) {
+            LogEvent.of("upstreams-lapsed").with("upstreams", lapsed).info(log);
+            upstreams.keySet().removeAll(lapsed);
+            lapsed.clear();
+            indexed = false;
+        }
+    }
+
+    private void index() {
+        byService.clear();
+        for (Upstream upstream : upstreams.values()) {
+            UpstreamEntry entry = upstream.entry();
+            if (!entry.leaving() && !zonesOut.contains(entry.zone())) {
+                byService
+                        .computeIfAbsent(entry.service(), name -> new ArrayList<>())
+                        .add(upstream);
+            }
+        }
+        indexed = true;
+    }
+
+    private void changed() {
+        indexed = false;
+        listeners.forEach(Runnable::run);
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/endivehold/relay/state/FleetView.java
@@ -0,0 +1,21 @@
+package org.endivehold.relay.state;
+
+import java.util.Collection;
+import java.util.Optional;
+import java.util.Set;
+import org.endivehold.relay.route.RoutingTable;
+
+/** What a daemon knows of the fleet at this moment. */
+public interface FleetView {
+    /** Returns the configuration in force; empty until one is known. */
+    Optional<RoutingTable> table();
+
+    /** Returns the usable upstreams of a service: registered, not leaving, in no zone that is taken out. */
+    Collection<Upstream> upstreams(String service);
+
+    /** Returns the upstream with an id, whether usable or not. */
+    Optional<Upstream> upstream(String id);
+
+    /** Returns the zones that operators have taken out. */
+    Set<String> zonesOut();
+}
