--- a/daemon/src/main/java/org/endivehold/daemon/entry/EntryDaemon.java
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/EntryDaemon.java
@@ -19,6 +19,7 @@
 import org.endivehold.relay.peer.PeerMessage;
 import org.endivehold.relay.serve.CallerServer;
 import org.endivehold.relay.serve.Dialect;
+import org.endivehold.relay.serve.EngineOrders;
 import org.endivehold.relay.serve.EngineWork;
 import org.endivehold.relay.serve.RelayBounds;
 import org.endivehold.relay.serve.RelayContext;
@@ -61,8 +62,15 @@
      * @param store the platform's store
      * @param decoder how the store's values are read
      * @param dialect how headers are named
+     * @param orders orders to engines
      */
-    public EntryDaemon(Vertx vertx, RelaySettings settings, SharedStore store, StoreDecoder decoder, Dialect dialect) {
+    public EntryDaemon(
+            Vertx vertx,
+            RelaySettings settings,
+            SharedStore store,
+            StoreDecoder decoder,
+            Dialect dialect,
+            EngineOrders orders) {
         this.vertx = vertx;
         this.settings = settings;
         long start = System.currentTimeMillis();
@@ -84,6 +92,7 @@
                 random,
                 fleet,
                 dialect,
+                orders,
                 bounds,
                 engines,
                 health,
--- a/daemon/src/main/java/org/endivehold/daemon/entry/EntryTool.java
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/EntryTool.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import org.endivehold.adapter.BootFile;
 import org.endivehold.adapter.HeaderNames;
+import org.endivehold.adapter.OrderClient;
 import org.endivehold.adapter.PlatformStoreClient;
 import org.endivehold.adapter.StoreEntries;
 import org.endivehold.error.EndiveholdException;
@@ -46,7 +47,8 @@
                 settings,
                 new PlatformStoreClient(vertx, settings.store()),
                 new StoreEntries(),
-                new HeaderNames());
+                new HeaderNames(),
+                new OrderClient(vertx));
         long grace = settings.bounds().graceMillis();
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon, grace), "stop"));
         HangupSignal.handle(() -> reload(daemon, file));
--- a/relay/src/main/java/org/endivehold/relay/engine/EngineBoard.java
+++ b/relay/src/main/java/org/endivehold/relay/engine/EngineBoard.java
@@ -52,7 +52,7 @@
         for (String engine : job.engines()) {
             EngineLoad load = loads.get(engine);
             if (load != null) {
-                load.add(job, now, pace);
+                load.add(job, engine, now, pace);
                 end = Math.max(end, now + 2 * predictedRun(load, job) + FORGET_AFTER_MILLIS);
             }
         }
--- a/relay/src/main/java/org/endivehold/relay/engine/EngineJob.java
+++ b/relay/src/main/java/org/endivehold/relay/engine/EngineJob.java
@@ -7,6 +7,7 @@
  *
  * @param id names it
  * @param engines the engines that read the prompt; the first of them also writes the answer
+ * @param heldTokens memory that the request takes at each of these engines, in tokens
  * @param promptTokens length of the prompt
  * @param outputTokens most tokens of the answer
  * @param firstAimMillis time to the first token that is on time
@@ -15,6 +16,7 @@
 public record EngineJob(
         JobId id,
         List<String> engines,
+        List<Long> heldTokens,
         long promptTokens,
         long outputTokens,
         double firstAimMillis,
@@ -22,9 +24,10 @@
     /** Prompt tokens that add one to the weight of a request: a longer prompt is dearer to serve late. */
     private static final double TOKENS_PER_WEIGHT = 10_000;
 
-    /** Keeps an immutable copy of the engines. */
+    /** Keeps immutable copies of the lists. */
     public EngineJob {
         engines = List.copyOf(engines);
+        heldTokens = List.copyOf(heldTokens);
     }
 
     /** Returns the engine that writes the answer. */
@@ -32,6 +35,12 @@
         return engines.get(0);
     }
 
+    /** Returns the memory that the request takes at an engine, in tokens; 0 if it takes none there. */
+    public long heldAt(String engine) {
+        int index = engines.indexOf(engine);
+        return index < 0 ? 0 : heldTokens.get(index);
+    }
+
     /** Returns what it costs to serve this request late, relative to a very short one. */
     public double weight() {
         return weight(promptTokens);
--- a/relay/src/main/java/org/endivehold/relay/engine/EngineLoad.java
+++ b/relay/src/main/java/org/endivehold/relay/engine/EngineLoad.java
@@ -29,14 +29,29 @@
     }
 
     /** Adds the part of a request; the first part of a request stays after its read and writes. */
-    void add(EngineJob job, double now, double pace) {
+    void add(EngineJob job, String engine, double now, double pace) {
         if (parts.containsKey(job.id())) {
             return;
         }
         int count = job.engines().size();
         double read = profile.readMillis(job.promptTokens(), count) * pace;
         double start = now + startDelay(now, count > 1);
-        parts.put(job.id(), new EnginePart(job, read, now, start));
+        if (count > 1) {
+            for (EnginePart part : parts.values()) {
+                if (overtakes(part, now)) {
+                    part.overtaken(read);
+                }
+            }
+        }
+        parts.put(job.id(), new EnginePart(job, job.heldAt(engine), read, now, start));
+    }
+
+    /**
+     * Tells whether a part of a divided prompt that comes now is read before another read. Where nobody writes a pass
+     * has one step, so that it goes before the rest of a read that has begun.
+     */
+    boolean overtakes(EnginePart part, double now) {
+        return !part.writing && !part.split && (writers == 0 || !part.started(now));
     }
 
     void firstToken(JobId id, String engine) {
@@ -44,20 +59,20 @@
         if (part == null || part.writing) {
             return;
         }
-        if (!part.job.writer().equals(engine)) {
+        if (!part.job.writer().equals(engine) && part.heldTokens == 0) {
             parts.remove(id);
             return;
         }
         part.writing = true;
         writers++;
-        context += part.job.promptTokens();
+        context += part.heldTokens;
     }
 
     void remove(JobId id) {
         EnginePart part = parts.remove(id);
         if (part != null && part.writing) {
             writers--;
-            context -= part.job.promptTokens();
+            context -= part.heldTokens;
         }
     }
 
@@ -73,7 +88,7 @@
     int occupied(String engine) {
         int count = 0;
         for (EnginePart part : parts.values()) {
-            if (part.writing || part.job.writer().equals(engine)) {
+            if (part.job.writer().equals(engine)) {
                 count++;
             }
         }
@@ -81,12 +96,10 @@
     }
 
     /** Sums the memory that requests here need. */
-    double memoryTokens(String engine) {
+    double memoryTokens() {
         double sum = 0;
         for (EnginePart part : parts.values()) {
-            if (part.job.writer().equals(engine)) {
-                sum += part.job.promptTokens() + part.job.outputTokens();
-            }
+            sum += part.heldTokens;
         }
         return sum;
     }
--- a/relay/src/main/java/org/endivehold/relay/engine/EnginePart.java
+++ b/relay/src/main/java/org/endivehold/relay/engine/EnginePart.java
@@ -5,13 +5,15 @@
     final EngineJob job;
     final double readMillis;
     final double placedAt;
-    final double startAt;
-    final double doneAt;
+    final long heldTokens;
     final boolean split;
     boolean writing;
+    private double startAt;
+    private double doneAt;
 
-    EnginePart(EngineJob job, double readMillis, double placedAt, double startAt) {
+    EnginePart(EngineJob job, long heldTokens, double readMillis, double placedAt, double startAt) {
         this.job = job;
+        this.heldTokens = heldTokens;
         this.readMillis = readMillis;
         this.placedAt = placedAt;
         this.startAt = startAt;
@@ -28,6 +30,12 @@
         return Math.min(readMillis, Math.max(least, doneAt - now));
     }
 
+    /** Notes that another read goes before this one, or before what is left of it. */
+    void overtaken(double millis) {
+        startAt += millis;
+        doneAt += millis;
+    }
+
     boolean started(double now) {
         return now >= startAt;
     }
--- a/relay/src/main/java/org/endivehold/relay/engine/EnginePlacement.java
+++ b/relay/src/main/java/org/endivehold/relay/engine/EnginePlacement.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.apache.commons.codec.digest.MurmurHash3;
+import org.endivehold.relay.route.EngineProfile;
 
 /**
  * Chooses the engines of a prompt by least predicted harm.
@@ -21,6 +22,9 @@
  * reserved: the border between them moves with the mix of the moment, since a full engine is dearer than a place
  * further along.
  *
+ * <p>A context that does not fit into one engine is divided: the writer holds one part, and other engines, at which
+ * memory has to be reserved, hold the others.
+ *
  * <p>Example: of four idle engines A B C D in this order, ten short prompts go to A until its waiting reads put the
  * next one at risk, then to B; a prompt of 180,000 tokens is read by D, C and B, and by A only if its pauses allow.
  */
@@ -32,15 +36,40 @@
     private static final double ORDER_WEIGHT = 0.06;
     /** Cost of each further part, relative to the weight of the request: parts tie engines together. */
     private static final double PART_WEIGHT = 0.004;
+    /** Part of the cost of an own long pause that counts: other reads may spread over several passes. */
+    private static final double OWN_PAUSE_WEIGHT = 0.5;
     /** Reads on one engine up to this many milliseconds make a prompt a short one. */
     private static final double SHORT_READ_MILLIS = 110;
+    /** Most engines beside the writer at which memory is reserved for one request. */
+    private static final int MAX_HOLDERS = 8;
+    /** Share of an engine's memory that one part of a divided context takes at most. */
+    private static final double HELD_SHARE = 0.6;
+    /** Tokens added to each part of a divided context, since memory is given in blocks. */
+    private static final long HELD_MARGIN_TOKENS = 512;
     /** Share of an engine's memory that requests may claim. */
     private static final double MEMORY_SHARE = 0.97;
 
-    private EnginePlacement() {}
+    private final EngineBoard board;
+    private final List<EngineCandidate> engines;
+    private final PromptNeed need;
+    private final double now;
+    private final double weight;
+
+    private EnginePlacement(EngineBoard board, List<EngineCandidate> engines, PromptNeed need, double now) {
+        this.board = board;
+        this.engines = engines;
+        this.need = need;
+        this.now = now;
+        this.weight = EngineJob.weight(need.promptTokens());
+    }
+
+    /**
+     * How a prompt is divided: engines that read, engines beside the writer that hold, tokens that each of them holds.
+     */
+    private record Division(int parts, int holders, long heldTokens) {}
 
     /** One engine as the writer or a reader of one part. */
-    private record Option(EngineCandidate engine, double readyMillis, double harm, boolean mayWrite) {}
+    private record Option(EngineCandidate engine, double readyMillis, double harm, boolean mayHold, boolean mayWrite) {}
 
     /**
      * Chooses the engines of a request.
@@ -57,92 +86,128 @@
                 .filter(c -> board.load(c.id()) != null)
                 .sorted(Comparator.comparingInt(c -> order(c.id())))
                 .toList();
+        if (known.isEmpty()) {
+            return Optional.empty();
+        }
+        return new EnginePlacement(board, known, need, now).choose();
+    }
+
+    private static int order(String id) {
+        return MurmurHash3.hash32x86(id.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private Optional<Placement> choose() {
+        double tokens = need.memoryTokens();
+        double most = profile().memoryTokens();
+        if (tokens <= most * MEMORY_SHARE) {
+            Placement whole = leastCost(0);
+            if (whole != null || isShort()) {
+                return Optional.ofNullable(whole);
+            }
+        }
+        int least = Math.max(1, (int) Math.ceil(tokens / (most * HELD_SHARE)) - 1);
+        for (int holders = least; holders <= Math.min(MAX_HOLDERS, engines.size() - 1); holders++) {
+            Placement divided = leastCost(holders);
+            if (divided != null) {
+                return Optional.of(divided);
+            }
+        }
+        return Optional.empty();
+    }
+
+    private EngineProfile profile() {
+        return board.load(engines.get(0).id()).profile();
+    }
+
+    private boolean isShort() {
+        return profile().readMillis(need.promptTokens(), 1) <= SHORT_READ_MILLIS;
+    }
+
+    /** Tries all numbers of parts with a given number of engines that hold a part of the context beside the writer. */
+    private Placement leastCost(int holders) {
+        long held = need.memoryTokens() / (holders + 1) + (holders > 0 ? HELD_MARGIN_TOKENS : 0);
         Placement best = null;
-        for (int parts = 1; parts <= Math.min(MAX_PARTS, known.size()); parts = nextParts(parts)) {
-            Placement placement = placeParts(board, known, need, parts, now);
+        for (int parts = holders + 1; parts <= Math.min(MAX_PARTS, engines.size()); parts = nextParts(parts)) {
+            Placement placement = placeParts(new Division(parts, holders, held));
             if (placement != null && (best == null || placement.cost() < best.cost())) {
                 best = placement;
             }
-            if (isShort(board, known, need)) {
+            if (isShort()) {
                 break;
             }
         }
-        return Optional.ofNullable(best);
+        return best;
     }
 
     private static int nextParts(int parts) {
         return parts < 6 ? parts + 1 : parts + 2;
     }
 
-    private static boolean isShort(EngineBoard board, List<EngineCandidate> known, PromptNeed need) {
-        return board.load(known.get(0).id()).profile().readMillis(need.promptTokens(), 1) <= SHORT_READ_MILLIS;
-    }
-
-    private static int order(String id) {
-        return MurmurHash3.hash32x86(id.getBytes(StandardCharsets.UTF_8));
-    }
-
-    private static Placement placeParts(
-            EngineBoard board, List<EngineCandidate> known, PromptNeed need, int parts, double now) {
-        boolean shorter = isShort(board, known, need);
-        double weight = EngineJob.weight(need.promptTokens());
-        List<Option> options = new ArrayList<>(known.size());
-        for (int i = 0; i < known.size(); i++) {
-            double place = (double) (shorter ? i : known.size() - 1 - i) / known.size();
-            options.add(option(board, known.get(i), need, parts, now, place * ORDER_WEIGHT * weight));
+    private Placement placeParts(Division division) {
+        boolean shorter = isShort();
+        List<Option> options = new ArrayList<>(engines.size());
+        for (int i = 0; i < engines.size(); i++) {
+            int place = shorter ? i : engines.size() - 1 - i;
+            double lean = weight * ORDER_WEIGHT * place / engines.size();
+            options.add(option(engines.get(i), division, lean));
         }
-        Comparator<Option> byHarm = Comparator.comparingDouble(o -> o.harm() + waitCost(o, need, weight));
-        options.sort(byHarm);
+        options.sort(Comparator.comparingDouble(o -> o.harm() + ownRisk(o.readyMillis())));
         Option writer = options.stream().filter(Option::mayWrite).findFirst().orElse(null);
         if (writer == null) {
             return null;
         }
-        List<Option> chosen = new ArrayList<>(parts);
+        options.remove(writer);
+        List<Option> chosen = new ArrayList<>(division.parts());
         chosen.add(writer);
-        for (Option option : options) {
-            if (chosen.size() < parts
-                    && !option.engine().id().equals(writer.engine().id())) {
-                chosen.add(option);
-            }
+        options.stream().filter(Option::mayHold).limit(division.holders()).forEach(chosen::add);
+        if (chosen.size() <= division.holders()) {
+            return null;
         }
-        return chosen.size() < parts ? null : sum(board, chosen, need, weight);
+        options.removeAll(chosen);
+        options.stream().limit(division.parts() - (long) chosen.size()).forEach(chosen::add);
+        return chosen.size() < division.parts() ? null : sum(chosen, division);
     }
 
-    private static double waitCost(Option option, PromptNeed need, double weight) {
-        return weight * Lateness.risk(need.elapsedMillis() + option.readyMillis(), need.firstAimMillis());
+    private double ownRisk(double firstMillis) {
+        return weight * Lateness.risk(need.elapsedMillis() + firstMillis, need.firstAimMillis());
     }
 
-    private static Placement sum(EngineBoard board, List<Option> chosen, PromptNeed need, double weight) {
+    private Placement sum(List<Option> chosen, Division division) {
         double first = 0;
         double harm = 0;
-        List<String> engines = new ArrayList<>(chosen.size());
+        List<String> ids = new ArrayList<>(chosen.size());
+        List<Long> held = new ArrayList<>(chosen.size());
         for (Option option : chosen) {
             first = Math.max(first, option.readyMillis());
             harm += option.harm();
-            engines.add(option.engine().id());
+            held.add(ids.size() <= division.holders() ? division.heldTokens() : 0L);
+            ids.add(option.engine().id());
         }
-        EngineLoad load = board.load(engines.get(0));
-        first += load.profile().passMillis(1, (double) need.promptTokens())
+        EngineLoad load = board.load(ids.get(0));
+        first += load.profile().passMillis(1, (double) division.heldTokens())
                 * chosen.get(0).engine().pace();
-        double own = weight * Lateness.risk(need.elapsedMillis() + first, need.firstAimMillis());
-        double cost = own + harm + weight * PART_WEIGHT * chosen.size();
-        return new Placement(engines, first, cost);
+        double cost = ownRisk(first) + harm + weight * PART_WEIGHT * chosen.size();
+        return new Placement(ids, held, first, cost);
     }
 
-    private static Option option(
-            EngineBoard board, EngineCandidate engine, PromptNeed need, int parts, double now, double bias) {
+    private Option option(EngineCandidate engine, Division division, double lean) {
         EngineLoad load = board.load(engine.id());
-        double read = load.profile().readMillis(need.promptTokens(), parts) * engine.pace();
-        double pass = load.passMillis() * engine.pace();
-        double waiting = load.nextPassReads(now);
-        double harm = bias + engine.penalty();
+        boolean split = division.parts() > 1;
+        double read = load.profile().readMillis(need.promptTokens(), division.parts()) * engine.pace();
+        double pause = load.passMillis() * engine.pace() + load.nextPassReads(now);
+        double harm = lean + engine.penalty();
         for (EnginePart part : load.parts()) {
-            harm += part.writing ? pauseHarm(part, pass + waiting, read) : waitHarm(part, now, read, parts > 1);
+            harm += part.writing ? pauseHarm(part, pause, read) : waitHarm(load, part, read, split);
+        }
+        if (!split) {
+            harm += weight * OWN_PAUSE_WEIGHT * Lateness.risk(pause + read, need.gapAimMillis());
         }
-        double ownPause = Lateness.risk(pass + waiting + read, need.gapAimMillis());
-        harm += EngineJob.weight(need.promptTokens()) * ownPause * (parts == 1 ? 0.5 : 0);
-        double ready = load.startDelay(now, parts > 1) * engine.pace() + read;
-        return new Option(engine, ready, harm, hasRoom(load, engine.id(), need));
+        double ready = load.startDelay(now, split) * engine.pace() + read;
+        boolean mayHold =
+                load.memoryTokens() + division.heldTokens() <= load.profile().memoryTokens() * MEMORY_SHARE;
+        boolean mayWrite =
+                mayHold && load.occupied(engine.id()) < load.profile().slots();
+        return new Option(engine, ready, harm, mayHold, mayWrite);
     }
 
     private static double pauseHarm(EnginePart part, double pause, double read) {
@@ -150,19 +215,13 @@
         return part.job.weight() * (Lateness.risk(pause + read, aim) - Lateness.risk(pause, aim));
     }
 
-    private static double waitHarm(EnginePart part, double now, double read, boolean split) {
-        boolean overtaken = !part.started(now) && (split || !part.split);
-        if (!overtaken) {
+    private double waitHarm(EngineLoad load, EnginePart part, double read, boolean split) {
+        boolean delayed = split ? load.overtakes(part, now) : !part.started(now) && !part.split;
+        if (!delayed) {
             return 0;
         }
         double aim = part.job.firstAimMillis();
         double first = now - part.placedAt + part.leftMillis(now);
         return part.job.weight() * (Lateness.risk(first + read, aim) - Lateness.risk(first, aim));
     }
-
-    private static boolean hasRoom(EngineLoad load, String engine, PromptNeed need) {
-        double tokens = load.memoryTokens(engine) + need.promptTokens() + need.outputTokens();
-        return load.occupied(engine) < load.profile().slots()
-                && tokens <= load.profile().memoryTokens() * MEMORY_SHARE;
-    }
 }
--- a/relay/src/main/java/org/endivehold/relay/engine/PromptNeed.java
+++ b/relay/src/main/java/org/endivehold/relay/engine/PromptNeed.java
@@ -10,4 +10,9 @@
  * @param elapsedMillis time that has passed since the caller's request
  */
 public record PromptNeed(
-        long promptTokens, long outputTokens, double firstAimMillis, double gapAimMillis, double elapsedMillis) {}
+        long promptTokens, long outputTokens, double firstAimMillis, double gapAimMillis, double elapsedMillis) {
+    /** Returns the memory that the request needs, in tokens. */
+    public long memoryTokens() {
+        return promptTokens + outputTokens;
+    }
+}
--- a/relay/src/main/java/org/endivehold/relay/limit/UpstreamHealth.java
+++ b/relay/src/main/java/org/endivehold/relay/limit/UpstreamHealth.java
@@ -30,6 +30,7 @@
         private double failing;
         private double pace = 1;
         private double at;
+        private double heardAt = Double.NEGATIVE_INFINITY;
 
         private void age(double now) {
             double keep = Math.pow(0.5, Math.max(0, now - at) / HALF_LIFE_MILLIS);
@@ -47,6 +48,18 @@
         state.failing *= 1 - NEWEST;
     }
 
+    /** Notes that something came from the upstream, for whatever request. */
+    public void heard(String upstream, double now) {
+        State state = states.computeIfAbsent(upstream, id -> new State());
+        state.heardAt = now;
+    }
+
+    /** Returns how long nothing has come from the upstream, for any request of this daemon, in milliseconds. */
+    public double silentMillis(String upstream, double now) {
+        State state = states.get(upstream);
+        return state == null ? Double.POSITIVE_INFINITY : now - state.heardAt;
+    }
+
     /** Notes a failure that says something about the upstream: it is not reached, breaks off or stays silent. */
     public void failed(String upstream, double now) {
         State state = state(upstream, now);
--- a/relay/src/main/java/org/endivehold/relay/peer/PeerCodec.java
+++ b/relay/src/main/java/org/endivehold/relay/peer/PeerCodec.java
@@ -85,7 +85,7 @@
         packId(packer, job.id());
         packer.packArrayHeader(job.engines().size());
         for (String engine : job.engines()) {
-            packer.packString(engine);
+            packer.packString(engine).packLong(job.heldAt(engine));
         }
         packer.packLong(job.promptTokens()).packLong(job.outputTokens());
         packer.packDouble(job.firstAimMillis()).packDouble(job.gapAimMillis());
@@ -143,12 +143,15 @@
         JobId id = unpackId(unpacker);
         int count = unpacker.unpackArrayHeader();
         List<String> engines = new ArrayList<>();
+        List<Long> held = new ArrayList<>();
         for (int i = 0; i < count; i++) {
             engines.add(unpacker.unpackString());
+            held.add(unpacker.unpackLong());
         }
         return new EngineJob(
                 id,
                 engines,
+                held,
                 unpacker.unpackLong(),
                 unpacker.unpackLong(),
                 unpacker.unpackDouble(),
--- a/relay/src/main/java/org/endivehold/relay/serve/EngineWork.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/EngineWork.java
@@ -54,6 +54,7 @@
         EngineJob job = new EngineJob(
                 new JobId(self, next++),
                 placement.engines(),
+                placement.heldTokens(),
                 need.promptTokens(),
                 need.outputTokens(),
                 need.firstAimMillis(),
--- a/relay/src/main/java/org/endivehold/relay/serve/Exchange.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/Exchange.java
@@ -39,6 +39,8 @@
     private boolean begun;
     private boolean ended;
     private double firstAt = -1;
+    private double eventAt;
+    private double longestGap;
 
     Exchange(RelayContext context, HttpServerRequest request, RequestFacts facts, Runnable whenEnded) {
         this.context = context;
@@ -132,7 +134,10 @@
         if (firstAt < 0) {
             firstAt = elapsedMillis();
             context.metrics().firstEvent(route.name(), customerName(), firstAt);
+        } else {
+            longestGap = Math.max(longestGap, elapsedMillis() - eventAt);
         }
+        eventAt = elapsedMillis();
         response.write(bytes);
     }
 
@@ -205,6 +210,7 @@
                 .with("status", status)
                 .with("outcome", outcome)
                 .with("first_ms", Math.round(firstAt))
+                .with("gap_ms", Math.round(longestGap))
                 .with("ms", Math.round(millis))
                 .with("steps", story)
                 .info(log);
--- a/relay/src/main/java/org/endivehold/relay/serve/PlainFlow.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/PlainFlow.java
@@ -144,7 +144,7 @@
         release();
         context.health().failed(upstream.id(), context.now());
         exchange.note("unreached");
-        again("unreached", ErrorType.UPSTREAM_UNREACHABLE);
+        again("unreached", false, ErrorType.UPSTREAM_UNREACHABLE);
     }
 
     @Override
@@ -173,14 +173,14 @@
         } else if (answer.refused()) {
             exchange.note("refused:" + answer.status());
             context.health().answeredWithFailure(upstream.id(), now);
-            again("refused", ErrorType.UPSTREAM_REFUSED);
+            again("refused", true, ErrorType.UPSTREAM_REFUSED);
         } else if (!answer.genuine(exchange.facts().attempt())) {
             brokenAnswer("unsigned");
         } else if (answer.failure() && mayRepeat()) {
             runs++;
             context.health().answeredWithFailure(upstream.id(), now);
             exchange.note("failed:" + answer.status());
-            repeat("failed", this::deliver);
+            repeat("failed", true, this::deliver);
         } else {
             context.health().answered(upstream.id(), now);
             deliver();
@@ -218,7 +218,7 @@
             exchange.fail(502, ErrorType.UPSTREAM_BROKEN, 0);
             return;
         }
-        repeat(cause, () -> exchange.fail(502, ErrorType.UPSTREAM_BROKEN, 0));
+        repeat(cause, true, () -> exchange.fail(502, ErrorType.UPSTREAM_BROKEN, 0));
     }
 
     private boolean mayRepeat() {
@@ -226,18 +226,20 @@
     }
 
     /** Goes on after an attempt that did not run. */
-    private void again(String cause, ErrorType type) {
+    private void again(String cause, boolean arrived, ErrorType type) {
         if (sends >= MAX_SENDS) {
             giveUp(type);
             return;
         }
-        repeat(cause, () -> giveUp(type));
+        repeat(cause, arrived, () -> giveUp(type));
     }
 
-    private void repeat(String cause, Runnable otherwise) {
+    private void repeat(String cause, boolean arrived, Runnable otherwise) {
         boolean taken = !exchange.ended()
                 && choose().isPresent()
-                && context.retries().take(service.name(), context.daemons().divisor(), context.now());
+                && (!arrived
+                        || context.retries()
+                                .take(service.name(), context.daemons().divisor(), context.now()));
         if (!taken) {
             otherwise.run();
             return;
--- a/relay/src/main/java/org/endivehold/relay/serve/RelayContext.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/RelayContext.java
@@ -16,6 +16,7 @@
  * @param random source of weights and jitter
  * @param fleet what is known of the fleet
  * @param dialect how headers are named
+ * @param orders orders to engines
  * @param bounds limits of this deployment
  * @param engines work at engines, here and at other daemons
  * @param health what own requests show of upstreams
@@ -30,6 +31,7 @@
         UniformRandomProvider random,
         FleetView fleet,
         Dialect dialect,
+        EngineOrders orders,
         RelayBounds bounds,
         EngineWork engines,
         UpstreamHealth health,
--- a/relay/src/main/java/org/endivehold/relay/serve/StreamFlow.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/StreamFlow.java
@@ -28,9 +28,11 @@
     /** Sends of one request, with those that did not run. */
     private static final int MAX_SENDS = 5;
     /** Silence before the first event beyond the prediction that ends an attempt, in milliseconds. */
-    private static final double FIRST_SILENCE_MILLIS = 1_800;
+    private static final double FIRST_SILENCE_MILLIS = 1_000;
     /** How many times the prediction the first event may take beside that silence. */
-    private static final double FIRST_SILENCE_FACTOR = 3;
+    private static final double FIRST_SILENCE_FACTOR = 2;
+    /** An engine from which another request heard in this time is alive, in milliseconds. */
+    private static final double ALIVE_MILLIS = 700;
     /** Shortest silence between events that ends an attempt, in milliseconds. */
     private static final double GAP_SILENCE_MILLIS = 1_200;
     /** Silence between events that ends an attempt, in aims of the route. */
@@ -68,6 +70,7 @@
     private double heardAt;
     private boolean attemptFirst;
     private long silenceTimer = -1;
+    private Reservation reservation;
     private final PaceMeter pace = new PaceMeter();
 
     StreamFlow(
@@ -183,21 +186,57 @@
         sends++;
         sentAt = now;
         heardAt = now;
-        List<String> helpers = new ArrayList<>();
         for (String id : found.engines()) {
             Optional<Upstream> upstream = context.fleet().upstream(id);
             if (upstream.isPresent() && upstream.get().cold(now)) {
                 context.cold().sent(id, now);
             }
-            if (!id.equals(writer.id())) {
-                upstream.ifPresent(u -> helpers.add(
-                        u.entry().address().host() + ":" + u.entry().address().port()));
-            }
         }
         job = context.engines().begin(found, need, context.health().pace(writer.id(), now));
-        exchange.note("sent:" + writer.id() + "+" + helpers.size() + ":predicted="
+        exchange.note("sent:" + writer.id() + "+" + (found.engines().size() - 1) + ":predicted="
                 + Math.round(found.firstMillis()) + ":cost=" + Math.round(found.cost() * 100) / 100.0 + ":at="
                 + Math.round(exchange.elapsedMillis()));
+        if (found.reserves()) {
+            reserve(writer);
+        } else {
+            open(writer);
+        }
+    }
+
+    private void reserve(Upstream writer) {
+        List<Reservation.Part> parts = new ArrayList<>();
+        for (int i = 1; i < placement.engines().size(); i++) {
+            long tokens = placement.heldTokens().get(i);
+            Optional<Upstream> holder =
+                    context.fleet().upstream(placement.engines().get(i));
+            if (tokens > 0 && holder.isPresent()) {
+                parts.add(new Reservation.Part(holder.get(), tokens));
+            }
+        }
+        EngineJob reserving = job;
+        String id = "r-" + reserving.id().daemon() + "-" + reserving.id().number();
+        reservation = new Reservation(context.vertx(), context.orders(), id, parts);
+        reservation.acquire().onComplete(held -> {
+            if (exchange.ended() || job == null || !job.id().equals(reserving.id())) {
+                return;
+            }
+            if (held.succeeded()) {
+                open(writer);
+            } else {
+                exchange.note("not-reserved");
+                endAttempt();
+                again("not-reserved", false, ErrorType.RESERVATION_REFUSED);
+            }
+        });
+    }
+
+    private void open(Upstream writer) {
+        List<String> helpers = new ArrayList<>();
+        for (String id : placement.engines()) {
+            if (!id.equals(writer.id())) {
+                context.fleet().upstream(id).ifPresent(helper -> helpers.add(helperAddress(helper)));
+            }
+        }
         UpstreamCall call = new UpstreamCall(
                 writer.id(),
                 Math.max(1, exchange.remainingMillis()),
@@ -208,6 +247,13 @@
         watchSilence();
     }
 
+    private String helperAddress(Upstream helper) {
+        String address =
+                helper.entry().address().host() + ":" + helper.entry().address().port();
+        boolean holds = reservation != null && reservation.holdsAt(helper.id());
+        return holds ? address + "/" + reservation.id() : address;
+    }
+
     private void watchSilence() {
         double limit = attemptFirst
                 ? Math.max(GAP_SILENCE_MILLIS, GAP_SILENCE_AIMS * need().gapAimMillis())
@@ -215,8 +261,11 @@
         double left = heardAt + limit - context.now();
         silenceTimer = context.vertx().setTimer(Math.max(1, (long) left), timer -> {
             silenceTimer = -1;
+            boolean alive = context.health().silentMillis(job.writer(), context.now()) < ALIVE_MILLIS;
             if (context.now() - heardAt < limit - 1) {
                 watchSilence();
+            } else if (alive && !attemptFirst) {
+                silenceTimer = context.vertx().setTimer((long) ALIVE_MILLIS, again -> watchSilence());
             } else {
                 silent();
             }
@@ -260,6 +309,7 @@
             return;
         }
         double now = context.now();
+        context.health().heard(job.writer(), now);
         if (!attemptFirst) {
             attemptFirst = true;
             context.engines().firstToken(job);
@@ -390,7 +440,9 @@
             return;
         }
         boolean allowed = sends < MAX_SENDS
-                && context.retries().take(service.name(), context.daemons().divisor(), context.now());
+                && (!arrived
+                        || context.retries()
+                                .take(service.name(), context.daemons().divisor(), context.now()));
         if (!allowed) {
             exchange.note(arrived ? "no-budget" : "no-sends");
             giveUp(type);
@@ -420,6 +472,10 @@
             context.vertx().cancelTimer(silenceTimer);
             silenceTimer = -1;
         }
+        if (reservation != null) {
+            reservation.end();
+            reservation = null;
+        }
         if (job != null) {
             EngineJob over = job;
             job = null;
