Expect long reads to be overtaken by later parts

Cause: prompts of 448,000 and 537,000 tokens were read in two or three parts and then starved behind newer parts.

--- a/relay/src/main/java/org/endivehold/relay/engine/EngineBoard.java
+++ b/relay/src/main/java/org/endivehold/relay/engine/EngineBoard.java
@@ -19,6 +19,7 @@
     private static final double FORGET_AFTER_MILLIS = 5_000;
 
     private final Map<String, EngineLoad> loads = new HashMap<>();
+    private final PartLoad partLoad = new PartLoad();
     private final Map<JobId, Entry> jobs = new LinkedHashMap<>();
 
     private record Entry(EngineJob job, double expiresAt) {}
@@ -52,6 +53,13 @@
         for (String engine : job.engines()) {
             EngineLoad load = loads.get(engine);
             if (load != null) {
+                if (job.engines().size() > 1) {
+                    partLoad.add(
+                            load.profile()
+                                    .readMillis(
+                                            job.promptTokens(), job.engines().size()),
+                            now);
+                }
                 load.add(job, engine, now, pace);
                 end = Math.max(end, now + 2 * predictedRun(load, job) + FORGET_AFTER_MILLIS);
             }
@@ -151,6 +159,11 @@
         return load == null ? 0 : load.pendingReads();
     }
 
+    /** Returns the share of an engine's time that parts of divided prompts took lately. */
+    double partShare(double now) {
+        return partLoad.share(loads.size(), now);
+    }
+
     EngineLoad load(String engine) {
         return loads.get(engine);
     }
--- a/relay/src/main/java/org/endivehold/relay/engine/EnginePlacement.java
+++ b/relay/src/main/java/org/endivehold/relay/engine/EnginePlacement.java
@@ -54,6 +54,8 @@
     private final PromptNeed need;
     private final double now;
     private final double weight;
+    /** How many times longer a read takes since later parts overtake it. */
+    private final double overtakenFactor;
 
     private EnginePlacement(EngineBoard board, List<EngineCandidate> engines, PromptNeed need, double now) {
         this.board = board;
@@ -61,6 +63,7 @@
         this.need = need;
         this.now = now;
         this.weight = EngineJob.weight(need.promptTokens());
+        this.overtakenFactor = 1 / (1 - board.partShare(now));
     }
 
     /**
@@ -169,7 +172,7 @@
     }
 
     private double ownRisk(double firstMillis) {
-        return weight * Lateness.risk(need.elapsedMillis() + firstMillis, need.firstAimMillis());
+        return weight * Lateness.risk(need.elapsedMillis() + firstMillis * overtakenFactor, need.firstAimMillis());
     }
 
     private Placement sum(List<Option> chosen, Division division) {
--- a/relay/src/main/java/org/endivehold/relay/engine/Lateness.java
+++ b/relay/src/main/java/org/endivehold/relay/engine/Lateness.java
@@ -7,7 +7,7 @@
     /** Share of the aim from which a prediction is taken to miss it. */
     private static final double LATE_SHARE = 1.03;
     /** Further cost for each aim's length beyond a miss: late is better than later. */
-    private static final double BEYOND = 0.1;
+    private static final double BEYOND = 0.25;
     /** Cost at the end of the safe share: sooner is a little better also there. */
     private static final double EARLY = 0.03;
 
