--- /dev/null
+++ b/relay/src/test/java/org/endivehold/relay/serve/PlainDialect.java
@@ -0,0 +1,60 @@
+package org.endivehold.relay.serve;
+
+import io.vertx.core.MultiMap;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/** Names of headers for tests. */
+final class PlainDialect implements Dialect {
+    @Override
+    public RequestFacts request(MultiMap headers) {
+        return new RequestFacts(
+                headers.get("attempt"),
+                number(headers.get("remaining")),
+                Optional.ofNullable(headers.get("key")),
+                number(headers.get("prompt")).orElse(0),
+                number(headers.get("output")).orElse(0),
+                number(headers.get("last-event")));
+    }
+
+    @Override
+    public void call(MultiMap headers, UpstreamCall call) {
+        headers.remove("key");
+        headers.set("target", call.upstream());
+        headers.set("remaining", Long.toString(call.remainingMillis()));
+        headers.remove("helpers");
+        if (!call.helpers().isEmpty()) {
+            headers.set("helpers", String.join(",", call.helpers()));
+        }
+        call.customer().ifPresent(name -> headers.set("customer", name));
+        if (call.resumeAfter().isPresent()) {
+            headers.set("last-event", Long.toString(call.resumeAfter().getAsLong()));
+        }
+    }
+
+    @Override
+    public AnswerFacts answer(int status, MultiMap headers) {
+        return new AnswerFacts(
+                status,
+                Optional.ofNullable(headers.get("attempt")),
+                headers.contains("not-run"),
+                headers.contains("signature"),
+                headers.contains("content-encoding"),
+                Optional.empty(),
+                Optional.ofNullable(headers.get("fault")));
+    }
+
+    @Override
+    public void unsign(MultiMap headers) {
+        headers.remove("signature");
+    }
+
+    @Override
+    public String readinessPath() {
+        return "/ready";
+    }
+
+    private static OptionalLong number(String text) {
+        return text == null ? OptionalLong.empty() : OptionalLong.of(Long.parseLong(text));
+    }
+}
--- /dev/null
+++ b/relay/src/test/java/org/endivehold/relay/serve/RelayFixture.java
@@ -0,0 +1,206 @@
+package org.endivehold.relay.serve;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.net.SocketAddress;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.apache.commons.rng.simple.RandomSource;
+import org.endivehold.misc.Ticker;
+import org.endivehold.relay.limit.ColdLimit;
+import org.endivehold.relay.limit.RetryShare;
+import org.endivehold.relay.limit.UpstreamHealth;
+import org.endivehold.relay.route.Customer;
+import org.endivehold.relay.route.EngineProfile;
+import org.endivehold.relay.route.RelayRoute;
+import org.endivehold.relay.route.RelayService;
+import org.endivehold.relay.route.RequestKind;
+import org.endivehold.relay.route.RoutingTable;
+import org.endivehold.relay.route.ServiceShare;
+import org.endivehold.relay.route.UpstreamEntry;
+import org.endivehold.relay.state.FleetView;
+import org.endivehold.relay.state.Upstream;
+
+/** A relay on loopback with scripted upstreams: two of a plain service and two engines. */
+final class RelayFixture implements AutoCloseable, FleetView {
+    static final int TIMEOUT_MILLIS = 1_500;
+    private static final EngineProfile PROFILE = new EngineProfile(4, 100_000, 10, 0.5, 0, 0, 1_000, 0, 2_048);
+
+    final List<ScriptedUpstream> plain = List.of(new ScriptedUpstream(), new ScriptedUpstream());
+    final List<ScriptedUpstream> engines = List.of(new ScriptedUpstream(), new ScriptedUpstream());
+    final List<String> orders = new ArrayList<>();
+    private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+    private final CallerServer server;
+    private final int port;
+    private final RoutingTable table;
+
+    RelayFixture() throws Exception {
+        table = RoutingTable.builder(1)
+                .route(route("/safe/", RequestKind.SAFE, "plain", 2, false))
+                .route(route("/unsafe/", RequestKind.UNSAFE, "plain", 1, false))
+                .route(route("/stream/", RequestKind.STREAM, "engines", 2, true))
+                .route(route("/once/", RequestKind.STREAM, "engines", 2, false))
+                .service(new RelayService("plain", "/health", 100, 0, Optional.empty()))
+                .service(new RelayService("engines", "/health", 100, 0, Optional.of(PROFILE)))
+                .key("secret", new Customer("customer", OptionalInt.empty()))
+                .keyed()
+                .build();
+        Ticker ticker = Ticker.system();
+        EngineOrders noOrders = new EngineOrders() {
+            @Override
+            public Future<Void> reserve(Upstream engine, String id, long tokens, int holdMillis) {
+                orders.add("reserve " + engine.id() + " " + tokens);
+                return Future.succeededFuture();
+            }
+
+            @Override
+            public Future<Void> release(Upstream engine, String id) {
+                orders.add("release " + engine.id());
+                return Future.succeededFuture();
+            }
+        };
+        DaemonCount alone = new DaemonCount() {
+            @Override
+            public Collection<String> names() {
+                return List.of("d");
+            }
+
+            @Override
+            public int spare() {
+                return 0;
+            }
+        };
+        RelayBounds bounds = new RelayBounds(4_000, 1, 1, 1, 100, 10_000);
+        server = new CallerServer(new RelayContext(
+                vertx,
+                ticker,
+                RandomSource.SPLIT_MIX_64.create(1),
+                this,
+                new PlainDialect(),
+                noOrders,
+                bounds,
+                new EngineWork(ticker, "d", message -> {}),
+                new UpstreamHealth(),
+                new ColdLimit("d"),
+                new RetryShare(1, 100, 10_000),
+                alone,
+                new RelayMetrics(new SimpleMeterRegistry())));
+        port = freePort();
+        await(server.listen(SocketAddress.inetSocketAddress(port, "127.0.0.1")));
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return socket.getLocalPort();
+        }
+    }
+
+    private static RelayRoute route(String prefix, RequestKind kind, String service, int attempts, boolean resumable) {
+        List<ServiceShare> services = List.of(new ServiceShare(service, 1));
+        return new RelayRoute(
+                prefix, "h", prefix, kind, TIMEOUT_MILLIS, 300, 250, 1, services, attempts, false, resumable);
+    }
+
+    static <T> T await(Future<T> future) throws Exception {
+        return future.toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
+    }
+
+    int port() {
+        return port;
+    }
+
+    CallerServer server() {
+        return server;
+    }
+
+    Vertx vertx() {
+        return vertx;
+    }
+
+    /** Scripts the same reply at all upstreams: whichever gets the first request answers with it. */
+    RelayFixture first(String bytes, ScriptedUpstream.End end) {
+        plain.forEach(upstream -> upstream.reply(bytes, end));
+        engines.forEach(upstream -> upstream.reply(bytes, end));
+        return this;
+    }
+
+    /** Makes whichever engine is asked second answer with these bytes. */
+    void onSecondArrival(String bytes) {
+        Runnable swap = () -> engines.forEach(upstream -> upstream.onlyReply(bytes));
+        engines.forEach(upstream -> upstream.whenAsked(swap));
+    }
+
+    int arrivals() {
+        int sum = 0;
+        for (ScriptedUpstream upstream : plain) {
+            sum += upstream.requests().size();
+        }
+        for (ScriptedUpstream upstream : engines) {
+            sum += upstream.requests().size();
+        }
+        return sum;
+    }
+
+    List<String> requests() {
+        List<String> all = new ArrayList<>();
+        plain.forEach(upstream -> all.addAll(upstream.requests()));
+        engines.forEach(upstream -> all.addAll(upstream.requests()));
+        return all;
+    }
+
+    /** Sends a request over a raw connection, since the JDK's client would not set the Host header. */
+    RawAnswer send(String method, String path, String body, String... headers) throws IOException {
+        return RawAnswer.ask(port, method, path, body, headers);
+    }
+
+    @Override
+    public Optional<RoutingTable> table() {
+        return Optional.of(table);
+    }
+
+    @Override
+    public Collection<Upstream> upstreams(String service) {
+        List<ScriptedUpstream> all = service.equals("plain") ? plain : engines;
+        List<Upstream> upstreams = new ArrayList<>();
+        for (int i = 0; i < all.size(); i++) {
+            upstreams.add(upstream(service, i, all.get(i)));
+        }
+        return upstreams;
+    }
+
+    private static Upstream upstream(String service, int index, ScriptedUpstream upstream) {
+        return new Upstream(new UpstreamEntry(service + "-" + index, service, upstream.address(), "z", 4, false, 0), 0);
+    }
+
+    @Override
+    public Optional<Upstream> upstream(String id) {
+        return upstreams(id.substring(0, id.indexOf('-'))).stream()
+                .filter(upstream -> upstream.id().equals(id))
+                .findFirst();
+    }
+
+    @Override
+    public Set<String> zonesOut() {
+        return Set.of();
+    }
+
+    @Override
+    public void close() throws Exception {
+        await(vertx.close());
+        for (ScriptedUpstream upstream : plain) {
+            upstream.close();
+        }
+        for (ScriptedUpstream upstream : engines) {
+            upstream.close();
+        }
+    }
+}
--- /dev/null
+++ b/relay/src/test/java/org/endivehold/relay/serve/ScriptedUpstream.java
@@ -0,0 +1,152 @@
+package org.endivehold.relay.serve;
+
+import io.vertx.core.net.SocketAddress;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.Queue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+
+/** An upstream that answers each request with the next of some prepared byte sequences. */
+final class ScriptedUpstream implements AutoCloseable {
+    /** How a connection ends after the bytes of an answer. */
+    enum End {
+        /** Closed in order. */
+        FIN,
+        /** Reset. */
+        RESET,
+        /** Left open and silent until the other side closes it. */
+        SILENT
+    }
+
+    /** An answer; {@code ATTEMPT} in its bytes stands for the attempt of the request. */
+    record Reply(String bytes, End end) {}
+
+    private final ServerSocket server;
+    private final Queue<Reply> replies = new ConcurrentLinkedQueue<>();
+    private final List<String> requests = new CopyOnWriteArrayList<>();
+    private final BlockingQueue<String> closed = new LinkedBlockingQueue<>();
+    private volatile Runnable whenAsked = () -> {};
+    private final CountDownLatch ended = new CountDownLatch(1);
+
+    ScriptedUpstream() throws IOException {
+        server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        Thread thread = new Thread(this::accept, "scripted-upstream");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    SocketAddress address() {
+        return SocketAddress.inetSocketAddress(server.getLocalPort(), "127.0.0.1");
+    }
+
+    ScriptedUpstream reply(String bytes, End end) {
+        replies.add(new Reply(bytes, end));
+        return this;
+    }
+
+    /** Replaces all replies that are left by one. */
+    void onlyReply(String bytes) {
+        replies.clear();
+        replies.add(new Reply(bytes, End.FIN));
+    }
+
+    /** Runs something when a request has taken its reply. */
+    void whenAsked(Runnable action) {
+        whenAsked = action;
+    }
+
+    /** Returns the requests that came, with their headers in lower case. */
+    List<String> requests() {
+        return requests;
+    }
+
+    /** Waits until the relay has closed a connection that was left silent. */
+    String awaitClosed() throws InterruptedException {
+        return closed.take();
+    }
+
+    private void accept() {
+        while (!server.isClosed()) {
+            try {
+                Socket socket = server.accept();
+                Thread thread = new Thread(() -> serve(socket), "scripted-connection");
+                thread.setDaemon(true);
+                thread.start();
+            } catch (IOException e) {
+                ended.countDown();
+            }
+        }
+    }
+
+    private void serve(Socket socket) {
+        try (socket) {
+            String request = read(socket.getInputStream());
+            requests.add(request);
+            Reply reply = replies.poll();
+            whenAsked.run();
+            if (reply == null) {
+                return;
+            }
+            String attempt = request.replaceAll("(?s).*\r\nattempt: ([^\r]*)\r\n.*", "$1");
+            byte[] bytes = reply.bytes().replace("ATTEMPT", attempt).getBytes(StandardCharsets.UTF_8);
+            socket.getOutputStream().write(bytes);
+            socket.getOutputStream().flush();
+            if (reply.end() == End.RESET) {
+                awaitRead(socket);
+                socket.setSoLinger(true, 0);
+            } else if (reply.end() == End.SILENT) {
+                int next = socket.getInputStream().read();
+                closed.add("closed " + next);
+            }
+        } catch (IOException e) {
+            closed.add("closed " + e.getMessage());
+        }
+    }
+
+    /** A reset may overtake bytes that were sent before it; the relay reads loopback bytes well within this time. */
+    private static void awaitRead(Socket socket) throws IOException {
+        socket.setSoTimeout(150);
+        try {
+            socket.getInputStream().read();
+        } catch (SocketTimeoutException e) {
+            socket.setSoTimeout(0);
+        }
+    }
+
+    private static String read(InputStream in) throws IOException {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        String head = "";
+        while (!head.endsWith("\r\n\r\n")) {
+            int next = in.read();
+            if (next < 0) {
+                throw new IOException("connection ended inside a request");
+            }
+            bytes.write(next);
+            head = bytes.toString(StandardCharsets.UTF_8);
+        }
+        String lower = head.toLowerCase(Locale.ROOT);
+        int length = 0;
+        int at = lower.indexOf("content-length: ");
+        if (at >= 0) {
+            length = Integer.parseInt(lower.substring(at + 16, lower.indexOf('\r', at)));
+        }
+        return lower + new String(in.readNBytes(length), StandardCharsets.UTF_8);
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+    }
+}
