Spread daemons with stale views over engines; leave last slots; tell of failed engines; refuse the hopeless at once

Change: the last two slots cost, each daemon has its own preferences within a part of the order, messages are gathered longer in larger fleets.

--- a/relay/src/main/java/org/endivehold/relay/engine/EnginePlacement.java
+++ b/relay/src/main/java/org/endivehold/relay/engine/EnginePlacement.java
@@ -20,7 +20,8 @@
  * <p>Harm alone would spread short prompts evenly and leave no engine where a long part hurts nobody. Engines therefore
  * have an order, the same at all daemons: short prompts lean to its beginning, long ones to its end. Nothing is
  * reserved: the border between them moves with the mix of the moment, since a full engine is dearer than a place
- * further along.
+ * further along. Engines that stand together in the order are a group, and within it each daemon has its own
+ * preferences: daemons that have not heard of each other's newest requests do not all choose the same engine.
  *
  * <p>A context that does not fit into one engine is divided: the writer holds one part, and other engines, at which
  * memory has to be reserved, hold the others.
@@ -34,10 +35,18 @@
 
     /** Weight of an engine's place in the order, relative to the weight of the request. */
     private static final double ORDER_WEIGHT = 0.06;
+    /** Groups of neighbouring engines in the order. */
+    private static final int GROUPS = 8;
+    /** Groups over which the preferences of a daemon reach: more than an idle engine is worth against a used one. */
+    private static final int PREFERENCE_GROUPS = 5;
     /** Cost of each further part, relative to the weight of the request: parts tie engines together. */
     private static final double PART_WEIGHT = 0.004;
     /** Part of the cost of an own long pause that counts: other reads may spread over several passes. */
     private static final double OWN_PAUSE_WEIGHT = 0.5;
+    /** Free slots of an engine that are better left to others: another daemon may take them at the same moment. */
+    private static final int LAST_SLOTS = 2;
+    /** Cost of taking the very last free slot of an engine, relative to the request's weight. */
+    private static final double LAST_SLOT_WEIGHT = 0.3;
     /** Reads on one engine up to this many milliseconds make a prompt a short one. */
     private static final double SHORT_READ_MILLIS = 110;
     /** Most engines beside the writer at which memory is reserved for one request. */
@@ -151,7 +160,10 @@
         List<Option> options = new ArrayList<>(engines.size());
         for (int i = 0; i < engines.size(); i++) {
             int place = shorter ? i : engines.size() - 1 - i;
-            double lean = weight * ORDER_WEIGHT * place / engines.size();
+            double group = Math.floor((double) place * GROUPS / engines.size()) / GROUPS;
+            double lean = weight
+                    * ORDER_WEIGHT
+                    * (group + PREFERENCE_GROUPS * engines.get(i).preference() / GROUPS);
             options.add(option(engines.get(i), division, lean));
         }
         options.sort(Comparator.comparingDouble(o -> o.harm() + ownRisk(o.readyMillis())));
@@ -208,8 +220,9 @@
         double ready = load.startDelay(now, split) * engine.pace() + read;
         boolean mayHold =
                 load.memoryTokens() + division.heldTokens() <= load.profile().memoryTokens() * MEMORY_SHARE;
-        boolean mayWrite =
-                mayHold && load.occupied(engine.id()) < load.profile().slots();
+        int free = load.profile().slots() - load.occupied(engine.id());
+        boolean mayWrite = mayHold && free > 0;
+        harm += free <= LAST_SLOTS ? weight * LAST_SLOT_WEIGHT / Math.max(1, free * free) : 0;
         return new Option(engine, ready, harm, mayHold, mayWrite);
     }
 
--- a/relay/src/main/java/org/endivehold/relay/peer/PeerMesh.java
+++ b/relay/src/main/java/org/endivehold/relay/peer/PeerMesh.java
@@ -28,12 +28,16 @@
  * that was away.
  */
 public final class PeerMesh {
-    /** How long messages are gathered before they are sent, in milliseconds. */
+    /** How long messages are gathered before they are sent to a few daemons, in milliseconds. */
     private static final int GATHER_MILLIS = 8;
+    /** Daemons for each further millisecond of gathering: the cost of sending grows with the fleet. */
+    private static final int DAEMONS_PER_MILLI = 2;
+    /** Longest time that messages are gathered, in milliseconds. */
+    private static final int LONGEST_GATHER_MILLIS = 60;
     /** Pause between pings, in milliseconds. */
-    private static final int PING_MILLIS = 500;
-    /** Silence after which a connection is given up, in milliseconds. */
-    static final int SILENCE_MILLIS = 1_600;
+    private static final int PING_MILLIS = 700;
+    /** Silence after which a connection is given up, in milliseconds: three pings. */
+    static final int SILENCE_MILLIS = 2_200;
     /** Longest time to open a connection, in milliseconds. */
     private static final int CONNECT_MILLIS = 700;
     /** How long a daemon that is not reached still counts as one that may exist, in milliseconds. */
@@ -86,7 +90,8 @@
         gathered.add(message);
         if (!flushing) {
             flushing = true;
-            vertx.setTimer(GATHER_MILLIS, timer -> flush());
+            int gather = GATHER_MILLIS + links.size() / DAEMONS_PER_MILLI;
+            vertx.setTimer(Math.min(gather, LONGEST_GATHER_MILLIS), timer -> flush());
         }
     }
 
--- a/relay/src/main/java/org/endivehold/relay/serve/EngineWork.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/EngineWork.java
@@ -1,9 +1,11 @@
 package org.endivehold.relay.serve;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
+import org.apache.commons.codec.digest.MurmurHash3;
 import org.endivehold.misc.Ticker;
 import org.endivehold.relay.engine.EngineBoard;
 import org.endivehold.relay.engine.EngineCandidate;
@@ -16,6 +18,9 @@
 
 /** Work at engines: places requests, keeps account of them, tells other daemons and hears of theirs. */
 public final class EngineWork {
+    /** How long other daemons leave out an engine that failed here, in milliseconds: their own look may differ. */
+    private static final int FAILED_OUT_MILLIS = 500;
+
     private final EngineBoard board = new EngineBoard();
     private final Ticker ticker;
     private final String self;
@@ -46,6 +51,14 @@
         listeners.add(listener);
     }
 
+    /**
+     * Returns this daemon's dislike of an engine, from 0 to 1: spread evenly, always the same, other daemons differ.
+     */
+    double preference(String engine) {
+        int hash = MurmurHash3.hash32x86((self + '/' + engine).getBytes(StandardCharsets.UTF_8));
+        return (hash >>> 1) / (double) Integer.MAX_VALUE;
+    }
+
     Optional<Placement> place(List<EngineCandidate> candidates, PromptNeed need) {
         return EnginePlacement.place(board, candidates, need, (double) ticker.millis());
     }
@@ -76,6 +89,11 @@
         listeners.forEach(Runnable::run);
     }
 
+    /** Tells other daemons that an engine failed, so that not each of them has to find out with a request. */
+    void tellFailed(String engine) {
+        peers.accept(new PeerMessage.UpstreamFailed(engine, FAILED_OUT_MILLIS));
+    }
+
     /** Returns what a daemon that connects has to know of this one's work. */
     public List<PeerMessage> introduction() {
         List<PeerMessage> messages = new ArrayList<>();
--- a/relay/src/main/java/org/endivehold/relay/serve/PlainFlow.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/PlainFlow.java
@@ -112,7 +112,7 @@
         List<Upstream> usable = new ArrayList<>();
         List<Upstream> ejected = new ArrayList<>();
         for (Upstream candidate : context.fleet().upstreams(service.name())) {
-            if (tried.contains(candidate.id()) || (candidate.cold(now) && !coldAllows(candidate, now))) {
+            if (tried.contains(candidate.id()) || (candidate.cold(now) && !context.coldAllows(service, candidate))) {
                 continue;
             }
             (context.health().ejected(candidate.id(), now) ? ejected : usable).add(candidate);
@@ -122,14 +122,6 @@
                 .min(Comparator.comparingDouble(u -> loads.score(u, context.health(), context.random(), now)));
     }
 
-    private boolean coldAllows(Upstream candidate, double now) {
-        double bound = service.coldPerSecond() * context.bounds().coldOverage()
-                + context.bounds().coldSlack();
-        DaemonCount daemons = context.daemons();
-        return service.coldPerSecond() <= 0
-                || context.cold().allows(candidate.id(), bound, daemons.names(), daemons.spare(), now);
-    }
-
     private void impatient() {
         patienceTimer = -1;
         if (exchange.ended() || attempt.ended() || facts != null) {
--- a/relay/src/main/java/org/endivehold/relay/serve/RelayContext.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/RelayContext.java
@@ -6,7 +6,9 @@
 import org.endivehold.relay.limit.ColdLimit;
 import org.endivehold.relay.limit.RetryShare;
 import org.endivehold.relay.limit.UpstreamHealth;
+import org.endivehold.relay.route.RelayService;
 import org.endivehold.relay.state.FleetView;
+import org.endivehold.relay.state.Upstream;
 
 /**
  * What requests are served with.
@@ -42,4 +44,11 @@
     double now() {
         return ticker.millis();
     }
+
+    /** Tells whether a cold upstream may get one more request from this daemon. */
+    boolean coldAllows(RelayService service, Upstream upstream) {
+        double bound = service.coldPerSecond() * bounds.coldOverage() + bounds.coldSlack();
+        return service.coldPerSecond() <= 0
+                || cold.allows(upstream.id(), bound, daemons.names(), daemons.spare(), now());
+    }
 }
--- a/relay/src/main/java/org/endivehold/relay/serve/StreamFlow.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/StreamFlow.java
@@ -10,7 +10,6 @@
 import java.util.Set;
 import org.endivehold.error.ErrorType;
 import org.endivehold.misc.LogEvent;
-import org.endivehold.relay.engine.EngineCandidate;
 import org.endivehold.relay.engine.EngineJob;
 import org.endivehold.relay.engine.Placement;
 import org.endivehold.relay.engine.PromptNeed;
@@ -41,10 +40,6 @@
     private static final double FULL_MILLIS = 150;
     /** Part of the remaining time that a request may wait for room. */
     private static final double WAIT_SHARE = 0.3;
-    /** Cost of sending a prompt to a cold engine, as a part of the request's weight. */
-    private static final double COLD_PENALTY = 0.5;
-    /** Cost of sending a prompt to an engine all of whose recent requests failed, as a part of the weight. */
-    private static final double FAILING_PENALTY = 1.5;
 
     private static final Logger log = Logger.getLogger(StreamFlow.class);
 
@@ -53,6 +48,7 @@
     private final UpstreamClient client;
     private final UpstreamClient.Outgoing outgoing;
     private final RelayService service;
+    private final EngineSelection selection;
     private final WaitingRoom waiting;
     private final Set<String> failed = new HashSet<>();
     private UpstreamAttempt attempt;
@@ -85,6 +81,7 @@
         this.client = client;
         this.outgoing = outgoing;
         this.service = service;
+        this.selection = new EngineSelection(context, service);
         this.waiting = waiting;
         this.lastEvent = exchange.facts().resumeAfter();
     }
@@ -93,6 +90,16 @@
     public void start() {
         context.retries().request(service.name(), context.now());
         if (!dispatch()) {
+            waitOrRefuse();
+        }
+    }
+
+    /** Waits for room; refuses at once what waiting cannot help. */
+    private void waitOrRefuse() {
+        if (selection.hopeless(need())) {
+            exchange.note("hopeless:engines=" + selection.engines());
+            giveUp(ErrorType.NO_UPSTREAM);
+        } else {
             waiting.add(this);
         }
     }
@@ -135,7 +142,7 @@
             return true;
         }
         PromptNeed need = need();
-        Optional<Placement> found = context.engines().place(candidates(), need);
+        Optional<Placement> found = selection.choose(need, failed);
         if (found.isEmpty()) {
             return false;
         }
@@ -148,33 +155,6 @@
         return true;
     }
 
-    private List<EngineCandidate> candidates() {
-        double now = context.now();
-        double weight = EngineJob.weight(exchange.facts().promptTokens());
-        List<EngineCandidate> usable = new ArrayList<>();
-        List<EngineCandidate> ejected = new ArrayList<>();
-        for (Upstream upstream : context.fleet().upstreams(service.name())) {
-            String id = upstream.id();
-            boolean cold = upstream.cold(now);
-            if (failed.contains(id) || (cold && !coldAllows(upstream, now))) {
-                continue;
-            }
-            service.engine().ifPresent(profile -> context.engines().board().engine(id, profile));
-            double penalty = weight * (FAILING_PENALTY * context.health().failing(id, now) + (cold ? COLD_PENALTY : 0));
-            EngineCandidate candidate = new EngineCandidate(id, context.health().pace(id, now), penalty);
-            (context.health().ejected(id, now) ? ejected : usable).add(candidate);
-        }
-        return usable.isEmpty() ? ejected : usable;
-    }
-
-    private boolean coldAllows(Upstream upstream, double now) {
-        double bound = service.coldPerSecond() * context.bounds().coldOverage()
-                + context.bounds().coldSlack();
-        DaemonCount daemons = context.daemons();
-        return service.coldPerSecond() <= 0
-                || context.cold().allows(upstream.id(), bound, daemons.names(), daemons.spare(), now);
-    }
-
     private void send(Placement found, Upstream writer, PromptNeed need) {
         double now = context.now();
         placement = found;
@@ -248,8 +228,7 @@
     }
 
     private String helperAddress(Upstream helper) {
-        String address =
-                helper.entry().address().host() + ":" + helper.entry().address().port();
+        String address = EngineSelection.address(helper);
         boolean holds = reservation != null && reservation.holdsAt(helper.id());
         return holds ? address + "/" + reservation.id() : address;
     }
@@ -376,7 +355,7 @@
     private void refused(AnswerFacts answer) {
         String culprit = placement.engines().get(0);
         if (answer.faultAddress().isPresent()) {
-            culprit = engineAt(answer.faultAddress().get()).orElse(culprit);
+            culprit = selection.engineAt(placement, answer.faultAddress().get()).orElse(culprit);
         }
         exchange.note("refused:" + answer.status() + ":" + culprit);
         if (answer.status() == 503 && culprit.equals(placement.engines().get(0))) {
@@ -387,18 +366,6 @@
         again("refused", true, ErrorType.UPSTREAM_REFUSED);
     }
 
-    private Optional<String> engineAt(String address) {
-        for (String id : placement.engines()) {
-            Optional<Upstream> upstream = context.fleet().upstream(id);
-            if (upstream.isPresent()
-                    && address.equals(upstream.get().entry().address().host() + ":"
-                            + upstream.get().entry().address().port())) {
-                return Optional.of(id);
-            }
-        }
-        return Optional.empty();
-    }
-
     /** The engine ran the request and failed. */
     private void failure(AnswerFacts answer) {
         exchange.note("failed:" + answer.status());
@@ -452,7 +419,7 @@
         }
         context.metrics().repeated(cause);
         if (!dispatch()) {
-            waiting.add(this);
+            waitOrRefuse();
         }
     }
 
@@ -467,6 +434,7 @@
     private void markFailed(String engine) {
         failed.add(engine);
         context.health().failed(engine, context.now());
+        context.engines().tellFailed(engine);
     }
 
     private void endAttempt() {
--- a/relay/src/test/java/org/endivehold/relay/engine/EnginePlacementTest.java
+++ b/relay/src/test/java/org/endivehold/relay/engine/EnginePlacementTest.java
@@ -27,7 +27,7 @@
 
     private void fleet(int size) {
         for (int i = 0; i < size; i++) {
-            engines.add(new EngineCandidate("engine-" + i, 1, 0));
+            engines.add(new EngineCandidate("engine-" + i, 1, 0, 0));
             board.engine("engine-" + i, PROFILE);
         }
     }
@@ -140,7 +140,7 @@
     @Test
     void aSlowEngineIsLeftForOthers() {
         fleet(3);
-        engines.set(0, new EngineCandidate("engine-0", 6, 0));
+        engines.set(0, new EngineCandidate("engine-0", 6, 0, 0));
         for (int i = 0; i < 6; i++) {
             assertFalse(place(SHORT, i * 60).engines().contains("engine-0"));
         }
@@ -165,4 +165,19 @@
         assertTrue(second.firstMillis() < MEDIUM.firstAimMillis() * 0.6);
         assertTrue(first.firstMillis() < MEDIUM.firstAimMillis() * 0.6);
     }
+
+    @Test
+    void aBurstLeavesTheLastSlotsOfAnEngineToOtherDaemons() {
+        fleet(3);
+        int most = 0;
+        for (int i = 0; i < 2 * PROFILE.slots(); i++) {
+            place(SHORT, i * 60);
+            board.firstToken(new JobId("daemon", next - 1));
+        }
+        for (EngineCandidate engine : engines) {
+            most = Math.max(most, board.occupied(engine.id()));
+        }
+        int seen = most;
+        assertTrue(seen < PROFILE.slots(), () -> seen + " requests at one engine while others have room");
+    }
 }
--- a/relay/src/test/java/org/endivehold/relay/serve/StreamRelayTest.java
+++ b/relay/src/test/java/org/endivehold/relay/serve/StreamRelayTest.java
@@ -139,4 +139,17 @@
             assertTrue(relay.requests().get(0).contains("\r\nhelpers: 127.0.0.1:"));
         }
     }
+
+    @Test
+    void aPromptThatAllEnginesTogetherCannotHoldIsRefusedAtOnce() throws Exception {
+        try (RelayFixture relay = new RelayFixture()) {
+            long begun = System.nanoTime();
+            RawAnswer answer = relay.send(
+                    "POST", "/stream/x", "p", "attempt: a", "remaining: 5000", "prompt: 900000", "output: 10");
+            long millis = (System.nanoTime() - begun) / 1_000_000;
+            assertEquals(503, answer.status());
+            assertTrue(millis < RelayFixture.TIMEOUT_MILLIS / 3, () -> millis + " ms");
+            assertEquals(0, relay.arrivals());
+        }
+    }
 }
--- /dev/null
+++ b/relay/src/test/java/org/endivehold/relay/state/FakeStore.java
@@ -0,0 +1,135 @@
+package org.endivehold.relay.state;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.buffer.Buffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.endivehold.error.EndiveholdException;
+import org.endivehold.error.ErrorType;
+
+/** A store in memory whose watches wait until something is written, and that can be made to fail. */
+final class FakeStore implements SharedStore {
+    private final TreeMap<String, Item> items = new TreeMap<>();
+    private final List<Change> history = new ArrayList<>();
+    private final List<Waiting> waiting = new ArrayList<>();
+    private long revision = 10;
+    private long forgotten;
+    private boolean down;
+    private int ranges;
+
+    private record Waiting(String prefix, long after, Promise<Changes> promise) {}
+
+    void write(String key, String value) {
+        revision++;
+        Item item = new Item(key, Buffer.buffer(value), revision);
+        items.put(key, item);
+        history.add(new Change(key, revision, Optional.of(item.value())));
+        wake();
+    }
+
+    void remove(String key) {
+        revision++;
+        items.remove(key);
+        history.add(new Change(key, revision, Optional.empty()));
+        wake();
+    }
+
+    /** Drops the history; watches that wait are told so. */
+    void compact() {
+        forgotten = revision;
+        history.clear();
+        fail(ErrorType.STORE_HISTORY_GONE);
+    }
+
+    /** Makes all calls fail, also those that wait, or work again. */
+    void down(boolean value) {
+        down = value;
+        if (down) {
+            fail(ErrorType.STORE_UNAVAILABLE);
+        }
+    }
+
+    private void fail(ErrorType type) {
+        List<Waiting> all = new ArrayList<>(waiting);
+        waiting.clear();
+        all.forEach(each -> each.promise().fail(new EndiveholdException(type, each.after())));
+    }
+
+    int ranges() {
+        return ranges;
+    }
+
+    private void wake() {
+        for (Waiting each : new ArrayList<>(waiting)) {
+            Changes changes = changes(each.prefix(), each.after());
+            if (!changes.changes().isEmpty()) {
+                waiting.remove(each);
+                each.promise().complete(changes);
+            }
+        }
+    }
+
+    private Changes changes(String prefix, long after) {
+        List<Change> found = history.stream()
+                .filter(change -> change.revision() > after && change.key().startsWith(prefix))
+                .toList();
+        return new Changes(found, revision);
+    }
+
+    private <T> Future<T> refused() {
+        return Future.failedFuture(new EndiveholdException(ErrorType.STORE_UNAVAILABLE, "down"));
+    }
+
+    @Override
+    public Future<Range> range(String prefix) {
+        ranges++;
+        if (down) {
+            return refused();
+        }
+        List<Item> found = items.values().stream()
+                .filter(item -> item.key().startsWith(prefix))
+                .toList();
+        return Future.succeededFuture(new Range(found, revision));
+    }
+
+    @Override
+    public Future<Changes> watch(String prefix, long after, int waitMillis) {
+        if (down) {
+            return refused();
+        }
+        if (after < forgotten) {
+            return Future.failedFuture(new EndiveholdException(ErrorType.STORE_HISTORY_GONE, after));
+        }
+        Changes changes = changes(prefix, after);
+        if (!changes.changes().isEmpty()) {
+            return Future.succeededFuture(changes);
+        }
+        Promise<Changes> promise = Promise.promise();
+        waiting.add(new Waiting(prefix, after, promise));
+        return promise.future();
+    }
+
+    @Override
+    public Future<Long> lease(int ttlMillis) {
+        return Future.succeededFuture(1L);
+    }
+
+    @Override
+    public Future<Void> keep(long lease) {
+        return Future.succeededFuture();
+    }
+
+    @Override
+    public Future<Void> end(long lease) {
+        return Future.succeededFuture();
+    }
+
+    @Override
+    public Future<Void> put(String key, Buffer value, long lease) {
+        write(key, value.toString());
+        return Future.succeededFuture();
+    }
+}
--- /dev/null
+++ b/relay/src/test/java/org/endivehold/relay/state/FleetStateTest.java
@@ -0,0 +1,144 @@
+package org.endivehold.relay.state;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.SocketAddress;
+import java.util.Set;
+import java.util.TreeSet;
+import org.endivehold.error.EndiveholdException;
+import org.endivehold.error.ErrorType;
+import org.endivehold.relay.route.RoutingTable;
+import org.endivehold.relay.route.UpstreamEntry;
+import org.junit.jupiter.api.Test;
+
+class FleetStateTest {
+    /** Entries are {@code zone state}, configurations a version. */
+    private static final class WordDecoder implements StoreDecoder {
+        @Override
+        public String operatorPrefix() {
+            return "o/";
+        }
+
+        @Override
+        public String upstreamPrefix() {
+            return "s/";
+        }
+
+        @Override
+        public String daemonPrefix() {
+            return "d/";
+        }
+
+        @Override
+        public String configurationKey() {
+            return "o/config";
+        }
+
+        @Override
+        public String zoneOutPrefix() {
+            return "o/out/";
+        }
+
+        @Override
+        public RoutingTable configuration(Buffer value) throws EndiveholdException {
+            try {
+                return RoutingTable.builder(Long.parseLong(value.toString())).build();
+            } catch (NumberFormatException e) {
+                throw new EndiveholdException(ErrorType.CONFIG_INVALID, value);
+            }
+        }
+
+        @Override
+        public UpstreamEntry upstream(String id, Buffer value) throws EndiveholdException {
+            String[] words = value.toString().split(" ", -1);
+            if (words.length != 2) {
+                throw new EndiveholdException(ErrorType.CONFIG_INVALID, value);
+            }
+            SocketAddress address = SocketAddress.inetSocketAddress(1, "10.0.0.1");
+            return new UpstreamEntry(id, "service", address, words[0], 1, words[1].equals("leaving"), 0);
+        }
+    }
+
+    private double sinceOutage = Double.POSITIVE_INFINITY;
+    private long revision;
+    private final FleetState state = new FleetState(new WordDecoder(), () -> 0, () -> sinceOutage);
+
+    private void write(String key, String value) {
+        state.written(new SharedStore.Item(key, Buffer.buffer(value), ++revision));
+    }
+
+    private Set<String> usable() {
+        Set<String> ids = new TreeSet<>();
+        state.upstreams("service").forEach(upstream -> ids.add(upstream.id()));
+        return ids;
+    }
+
+    @Test
+    void upstreamsThatLeaveOrStandInAZoneThatIsOutGetNothing() {
+        write("s/1", "a ready");
+        write("s/2", "b ready");
+        write("s/3", "a leaving");
+        assertEquals(Set.of("1", "2"), usable());
+        write("o/out/b", "{}");
+        assertEquals(Set.of("1"), usable());
+        state.removed("o/out/b");
+        write("s/1", "a leaving");
+        assertEquals(Set.of("2"), usable());
+        state.removed("s/2");
+        assertEquals(Set.of(), usable());
+    }
+
+    @Test
+    void anEntryThatCannotBeReadNamesNoUpstreamAndTheOthersHold() {
+        write("s/1", "a ready");
+        write("s/2", "a ready");
+        write("s/2", "nonsense");
+        assertEquals(Set.of("1"), usable());
+    }
+
+    @Test
+    void theVersionInForceNeverFalls() {
+        write("o/config", "5");
+        write("o/config", "4");
+        write("o/config", "unreadable");
+        assertEquals(5, state.table().orElseThrow().version());
+        write("o/config", "6");
+        assertEquals(6, state.table().orElseThrow().version());
+    }
+
+    @Test
+    void entriesThatLapsedInAnOutageAreUsedUntilTheGraceIsOver() {
+        write("s/1", "a ready");
+        write("s/2", "a ready");
+        write("s/3", "a leaving");
+        sinceOutage = 0;
+        state.removed("s/1");
+        state.removed("s/2");
+        assertEquals(Set.of("1", "2"), usable());
+        sinceOutage = 500;
+        write("s/2", "a ready");
+        assertEquals(Set.of("1", "2"), usable());
+        sinceOutage = FleetState.LAPSE_GRACE_MILLIS;
+        assertEquals(Set.of("2"), usable());
+    }
+
+    @Test
+    void anEntryThatVanishesInCalmIsGoneAtOnce() {
+        write("s/1", "a ready");
+        sinceOutage = FleetState.LAPSE_GRACE_MILLIS;
+        state.removed("s/1");
+        assertEquals(Set.of(), usable());
+    }
+
+    @Test
+    void isCompleteWithAConfigurationAndTheListOfUpstreams() {
+        assertFalse(state.complete());
+        write("o/config", "1");
+        assertFalse(state.complete());
+        state.current(new WatchedPrefix(null, null, "s/", () -> 0, null, state));
+        assertTrue(state.complete());
+    }
+}
