--- a/daemon/src/main/java/org/endivehold/daemon/entry/EntryDaemon.java
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/EntryDaemon.java
@@ -121,15 +121,12 @@
         return onLoop(this::begin);
     }
 
+    /** Opens the ports first: while threads start, little else is read. */
     private Future<Void> begin() {
-        operators.start();
-        upstreams.start();
-        settings.seeds().forEach(mesh::connect);
-        registration.start();
-        vertx.setPeriodic(TICK_MILLIS, timer -> tick());
         return status.listen()
                 .compose(done -> mesh.start())
                 .compose(done -> callers.listen(settings.callers()))
+                .onSuccess(done -> watch())
                 .onSuccess(done -> LogEvent.of("daemon-started")
                         .with("daemon", self)
                         .with("zone", settings.zone())
@@ -137,6 +134,14 @@
                         .info(log));
     }
 
+    private void watch() {
+        operators.start();
+        upstreams.start();
+        settings.seeds().forEach(mesh::connect);
+        registration.start();
+        vertx.setPeriodic(TICK_MILLIS, timer -> tick());
+    }
+
     /** Takes settings that were read anew: seeds that were not known are connected. */
     public void reload(RelaySettings changed) {
         vertx.runOnContext(ignored -> {
--- a/relay/src/main/java/org/endivehold/relay/engine/EnginePlacement.java
+++ b/relay/src/main/java/org/endivehold/relay/engine/EnginePlacement.java
@@ -37,8 +37,12 @@
     private static final double ORDER_WEIGHT = 0.06;
     /** Groups of neighbouring engines in the order. */
     private static final int GROUPS = 8;
-    /** Groups over which the preferences of a daemon reach: more than an idle engine is worth against a used one. */
-    private static final int PREFERENCE_GROUPS = 5;
+    /**
+     * Most groups over which the preferences of a daemon reach: more than an idle engine is worth against a used one.
+     */
+    private static final double MOST_PREFERENCE_GROUPS = 5;
+    /** Engines for each group over which preferences reach: a larger fleet hears later of more requests. */
+    private static final double ENGINES_PER_PREFERENCE_GROUP = 12;
     /** Cost of each further part, relative to the weight of the request: parts tie engines together. */
     private static final double PART_WEIGHT = 0.004;
     /** Part of the cost of an own long pause that counts: other reads may spread over several passes. */
@@ -157,13 +161,13 @@
 
     private Placement placeParts(Division division) {
         boolean shorter = isShort();
+        double reach = Math.min(MOST_PREFERENCE_GROUPS, engines.size() / ENGINES_PER_PREFERENCE_GROUP);
         List<Option> options = new ArrayList<>(engines.size());
         for (int i = 0; i < engines.size(); i++) {
             int place = shorter ? i : engines.size() - 1 - i;
             double group = Math.floor((double) place * GROUPS / engines.size()) / GROUPS;
-            double lean = weight
-                    * ORDER_WEIGHT
-                    * (group + PREFERENCE_GROUPS * engines.get(i).preference() / GROUPS);
+            double own = reach * engines.get(i).preference() / GROUPS;
+            double lean = weight * ORDER_WEIGHT * (group + own);
             options.add(option(engines.get(i), division, lean));
         }
         options.sort(Comparator.comparingDouble(o -> o.harm() + ownRisk(o.readyMillis())));
