--- a/relay/src/main/java/org/endivehold/relay/serve/CallerServer.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/CallerServer.java
@@ -33,6 +33,10 @@
     private static final long END_BEFORE_GRACE_MILLIS = 700;
     /** Pause between looks whether all requests have ended, in milliseconds. */
     private static final long LOOK_MILLIS = 50;
+    /** Looks whether the fleet is known after which a request is refused: a start takes less time than they do. */
+    private static final int STARTING_LOOKS = 6;
+    /** Bytes of a body that are taken before a configuration says how many. */
+    private static final int MAX_BODY_BYTES = 4 << 20;
     /** When a caller that was refused for want of a configuration may come back, in milliseconds. */
     private static final int NO_CONFIGURATION_RETRY_MILLIS = 500;
 
@@ -110,11 +114,6 @@
             request.response().putHeader("connection", "close");
             request.response().endHandler(sent -> connection.close());
         }
-        if (context.fleet().table().isEmpty()) {
-            exchange.refuse(ErrorType.NO_CONFIGURATION, NO_CONFIGURATION_RETRY_MILLIS);
-            return;
-        }
-        RoutingTable table = context.fleet().table().get();
         request.exceptionHandler(failure -> exchange.note("request-broken"));
         Buffer body = Buffer.buffer();
         request.handler(bytes -> {
@@ -122,11 +121,29 @@
                 return;
             }
             body.appendBuffer(bytes);
-            if (body.length() > table.limits().bodyBytes()) {
+            if (body.length() > maxBodyBytes()) {
                 exchange.fail(413, ErrorType.BODY_TOO_LARGE, 0);
             }
         });
-        request.endHandler(read -> route(exchange, request, body));
+        request.endHandler(read -> whenComplete(exchange, STARTING_LOOKS, () -> route(exchange, request, body)));
+    }
+
+    private int maxBodyBytes() {
+        return context.fleet().table().map(table -> table.limits().bodyBytes()).orElse(MAX_BODY_BYTES);
+    }
+
+    /** Goes on as soon as the fleet is known: right after a start that is sooner than a caller could come back. */
+    private void whenComplete(Exchange exchange, int looks, Runnable next) {
+        if (exchange.ended()) {
+            return;
+        }
+        if (context.fleet().complete()) {
+            next.run();
+        } else if (looks > 0) {
+            context.vertx().setTimer(LOOK_MILLIS, timer -> whenComplete(exchange, looks - 1, next));
+        } else {
+            exchange.refuse(ErrorType.NO_CONFIGURATION, NO_CONFIGURATION_RETRY_MILLIS);
+        }
     }
 
     private void ended(HttpConnection connection) {
--- a/relay/src/main/java/org/endivehold/relay/state/FleetState.java
+++ b/relay/src/main/java/org/endivehold/relay/state/FleetState.java
@@ -59,7 +59,7 @@
         listeners.add(listener);
     }
 
-    /** Tells whether a configuration and the list of upstreams are known. */
+    @Override
     public boolean complete() {
         return table != null && upstreamsRead;
     }
--- a/relay/src/main/java/org/endivehold/relay/state/FleetView.java
+++ b/relay/src/main/java/org/endivehold/relay/state/FleetView.java
@@ -7,6 +7,9 @@
 
 /** What a daemon knows of the fleet at this moment. */
 public interface FleetView {
+    /** Tells whether a configuration and the list of upstreams are known. */
+    boolean complete();
+
     /** Returns the configuration in force; empty until one is known. */
     Optional<RoutingTable> table();
 
--- a/relay/src/test/java/org/endivehold/relay/serve/PlainRelayTest.java
+++ b/relay/src/test/java/org/endivehold/relay/serve/PlainRelayTest.java
@@ -123,4 +123,25 @@
             assertTrue(left <= RelayFixture.TIMEOUT_MILLIS && left > RelayFixture.TIMEOUT_MILLIS / 2);
         }
     }
+
+    @Test
+    void aRequestThatComesBeforeTheFleetIsKnownWaitsForIt() throws Exception {
+        try (RelayFixture relay = new RelayFixture().first(GOOD, End.FIN)) {
+            relay.unknownLooks = 3;
+            assertEquals(
+                    200,
+                    relay.send("GET", "/safe/x", "", "attempt: a1", "remaining: 1200")
+                            .status());
+        }
+    }
+
+    @Test
+    void aDaemonThatKnowsNoFleetRefusesWithATimeToComeBack() throws Exception {
+        try (RelayFixture relay = new RelayFixture()) {
+            relay.unknownLooks = Integer.MAX_VALUE - 1;
+            RawAnswer answer = relay.send("GET", "/unknown/x", "", "attempt: a1", "remaining: 1200");
+            assertEquals(503, answer.status());
+            assertTrue(answer.head().contains("retry-after"));
+        }
+    }
 }
--- a/relay/src/test/java/org/endivehold/relay/serve/RelayFixture.java
+++ b/relay/src/test/java/org/endivehold/relay/serve/RelayFixture.java
@@ -42,6 +42,10 @@
     private final CallerServer server;
     private final int port;
     private final RoutingTable table;
+    /** How often the fleet is asked for before it is known. */
+    volatile int unknownLooks;
+
+    private int looks;
 
     RelayFixture() throws Exception {
         table = RoutingTable.builder(1)
@@ -162,6 +166,12 @@
         return RawAnswer.ask(port, method, path, body, headers);
     }
 
+    @Override
+    public boolean complete() {
+        looks++;
+        return looks > unknownLooks;
+    }
+
     @Override
     public Optional<RoutingTable> table() {
         return Optional.of(table);
