--- a/relay/src/main/java/org/endivehold/relay/serve/CallerServer.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/CallerServer.java
@@ -34,7 +34,7 @@
     /** Pause between looks whether all requests have ended, in milliseconds. */
     private static final long LOOK_MILLIS = 50;
     /** Looks whether the fleet is known after which a request is refused: a start takes less time than they do. */
-    private static final int STARTING_LOOKS = 6;
+    private static final int STARTING_LOOKS = 14;
     /** Bytes of a body that are taken before a configuration says how many. */
     private static final int MAX_BODY_BYTES = 4 << 20;
     /** When a caller that was refused for want of a configuration may come back, in milliseconds. */
