Explain a request from collected logs: endivehold explain

The tool reads the daemons' log files and prints the decisions on one request in words, what else went on at its upstreams, the longest of the other requests there, and the dependencies that its daemon had lost or regained around it.

--- a/cli/src/main/java/org/endivehold/cli/OperatorTool.java
+++ b/cli/src/main/java/org/endivehold/cli/OperatorTool.java
@@ -20,6 +20,7 @@
             StatusCommand.class,
             TopCommand.class,
             TraceCommand.class,
+            ExplainCommand.class,
             CompletionCommand.class
         },
         groups = {
--- /dev/null
+++ b/cli/src/main/java/org/endivehold/cli/RequestExplanation.java
@@ -0,0 +1,153 @@
+package org.endivehold.cli;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * What the daemons' logs say of one request: how it ended, each decision on it in words, what was known of the
+ * upstreams that it was sent to, who else was there, and which dependencies its daemon had lost.
+ */
+final class RequestExplanation {
+    /** How long before and after a request lines are looked at, in milliseconds. */
+    private static final long AROUND_MILLIS = 5_000;
+    /** Other requests that are shown for each upstream. */
+    private static final int OTHERS = 3;
+    /** Lines of its daemon that are shown. */
+    private static final int LINES = 12;
+
+    private static final String ENDED = "request-ended";
+    private static final Pattern SENT =
+            Pattern.compile("sent:([^:,]+)(?::predicted=(\\d+))?[^,]*?(?::at=(\\d+))?(?=,|$)");
+    private static final Set<String> DEPENDENCIES = Set.of(
+            "store-lost",
+            "store-regained",
+            "store-copy-taken",
+            "zone-out",
+            "zone-in",
+            "configuration-in-force",
+            "daemon-started",
+            "daemon-stopping",
+            "peer-lost",
+            "upstreams-lapsed");
+    private static final Map<String, String> WORDS = Map.ofEntries(
+            Map.entry("unreached", "no connection to the upstream: it was not sent"),
+            Map.entry("refused", "the upstream said that it did not run it"),
+            Map.entry("failed", "the upstream ran it and failed"),
+            Map.entry("broken", "the answer broke off"),
+            Map.entry("partial", "the answer ended inside an event or before the first"),
+            Map.entry("foreign", "the answer belonged to another request"),
+            Map.entry("unsigned", "the answer was not the upstream's own"),
+            Map.entry("silent", "nothing came, for this many milliseconds"),
+            Map.entry("gap", "the resumed stream did not go on where it had broken"),
+            Map.entry("not-reserved", "memory for a part of the context was refused"),
+            Map.entry("no-room", "no engine had room for as long as it could wait"),
+            Map.entry("hopeless", "all engines together could not take it"),
+            Map.entry("no-budget", "the share of the retry budget was spent"),
+            Map.entry("no-sends", "it had been sent as often as it may"),
+            Map.entry("timeout", "the route's timeout or the caller's deadline came"),
+            Map.entry("request-broken", "the caller's request broke off"),
+            Map.entry("version", "decided by this version of the configuration"));
+
+    private final List<LogLine> lines;
+    private final String request;
+    private final List<String> out = new ArrayList<>();
+
+    RequestExplanation(List<LogLine> lines, String request) {
+        this.lines = lines;
+        this.request = request;
+    }
+
+    /** Returns the explanation as lines of text; empty if no log names the request. */
+    List<String> text() {
+        for (LogLine line : lines) {
+            if (line.event().equals(ENDED) && line.value("request").equals(request)) {
+                explain(line);
+            }
+        }
+        return out;
+    }
+
+    private void explain(LogLine line) {
+        out.add(String.format(
+                Locale.ROOT,
+                "request %s in %s: status %s, %s after %d ms (first event %s ms, longest pause %s ms)",
+                request,
+                line.file(),
+                line.value("status"),
+                line.value("outcome"),
+                line.number("ms"),
+                line.value("first_ms"),
+                line.value("gap_ms")));
+        out.add("  route " + line.value("route") + ", customer " + line.value("customer") + ", prompt of "
+                + line.value("prompt") + " tokens");
+        Set<String> upstreams = new LinkedHashSet<>();
+        for (String step : line.value("steps").split(",", -1)) {
+            step(step, upstreams);
+        }
+        upstreams.forEach(upstream -> around(line, upstream));
+        dependencies(line);
+    }
+
+    private void step(String step, Set<String> upstreams) {
+        Matcher sent = SENT.matcher(step);
+        if (sent.matches()) {
+            List<String> engines = List.of(sent.group(1).split("/", -1));
+            upstreams.addAll(engines);
+            String helpers = engines.size() > 1 ? ", read with " + (engines.size() - 1) + " others" : "";
+            String predicted = sent.group(2) == null ? "" : ", first event predicted after " + sent.group(2) + " ms";
+            String at = sent.group(3) == null ? "" : " at " + sent.group(3) + " ms";
+            out.add("  sent to " + engines.get(0) + at + helpers + predicted);
+        } else if (!step.isEmpty()) {
+            String word = step.replaceAll(":.*", "");
+            out.add("  " + step + ": " + WORDS.getOrDefault(word, "see docs/OPERATIONS.md"));
+        }
+    }
+
+    private void around(LogLine line, String upstream) {
+        for (LogLine other : lines) {
+            if (near(line, other) && other.value("upstream").equals(upstream)) {
+                out.add("  " + upstream + ": " + other.event() + " " + offset(line, other) + " in " + other.file());
+            }
+        }
+        List<LogLine> rivals = lines.stream()
+                .filter(other ->
+                        other.event().equals(ENDED) && !other.value("request").equals(request))
+                .filter(other -> other.value("steps").contains(upstream))
+                .filter(other -> other.begunMillis() < line.atMillis() && other.atMillis() > line.begunMillis())
+                .sorted(Comparator.comparingLong((LogLine other) -> -other.number("prompt")))
+                .toList();
+        if (!rivals.isEmpty()) {
+            out.add("  " + upstream + ": " + rivals.size() + " other requests at that time, the longest:");
+        }
+        rivals.stream()
+                .limit(OTHERS)
+                .forEach(other -> out.add("    " + other.value("request") + " of " + other.value("prompt")
+                        + " tokens, status " + other.value("status") + ", first event " + other.value("first_ms")
+                        + " ms"));
+    }
+
+    private void dependencies(LogLine line) {
+        lines.stream()
+                .filter(other -> other.file().equals(line.file()) && near(line, other))
+                .filter(other -> DEPENDENCIES.contains(other.event()))
+                .limit(LINES)
+                .forEach(other -> out.add("  its daemon: " + other.event() + " " + offset(line, other)));
+    }
+
+    private static boolean near(LogLine line, LogLine other) {
+        return other.atMillis() > line.begunMillis() - AROUND_MILLIS
+                && other.atMillis() < line.atMillis() + AROUND_MILLIS;
+    }
+
+    private static String offset(LogLine line, LogLine other) {
+        long millis = other.atMillis() - line.begunMillis();
+        return millis < 0 ? -millis + " ms before the request" : millis + " ms into the request";
+    }
+}
