Take no request that might not end within the grace; move silent streams before their callers leave

Change: from 0.37 of the grace on a stopping daemon refuses with 503 and 50 ms to come back; DrainTest failed before. Failures of connections no longer appear as bare lines of the HTTP library.

--- a/relay/src/main/java/org/endivehold/relay/serve/CallerServer.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/CallerServer.java
@@ -29,6 +29,12 @@
     private static final int IDLE_SECONDS = 60;
     /** Time from the signal to stop until idle connections are closed: the balancer has noticed by then. */
     private static final long CLOSE_IDLE_MILLIS = 2_600;
+    /**
+     * Part of the grace in which requests are taken; the balancer sends some as long as few other daemons are ready.
+     */
+    private static final double LAST_ADMISSION_SHARE = 0.37;
+    /** When a caller that a stopping daemon refuses may come back, in milliseconds: another daemon will take it. */
+    private static final int STOPPING_RETRY_MILLIS = 50;
     /** Time before the end of the grace at which the last requests are ended, in milliseconds. */
     private static final long END_BEFORE_GRACE_MILLIS = 700;
     /** Pause between looks whether all requests have ended, in milliseconds. */
@@ -49,7 +55,7 @@
     private final WaitingRoom waiting;
     private final Map<HttpConnection, Integer> connections = new HashMap<>();
     private int active;
-    private boolean stopping;
+    private double stoppingAt = Double.POSITIVE_INFINITY;
 
     /** Creates the server; it does not listen yet. */
     public CallerServer(RelayContext context) {
@@ -75,9 +81,8 @@
 
     /** Serves what is under way and what still comes, and returns when nothing is left or the grace is over. */
     public Future<Void> drain() {
-        stopping = true;
-        double begunAt = context.now();
-        double endAt = begunAt + context.bounds().graceMillis() - END_BEFORE_GRACE_MILLIS;
+        stoppingAt = context.now();
+        double endAt = stoppingAt + context.bounds().graceMillis() - END_BEFORE_GRACE_MILLIS;
         io.vertx.core.Promise<Void> drained = io.vertx.core.Promise.promise();
         context.vertx().setTimer(CLOSE_IDLE_MILLIS, timer -> closeIdle());
         context.vertx().setPeriodic(CLOSE_IDLE_MILLIS + LOOK_MILLIS, LOOK_MILLIS, timer -> {
@@ -101,6 +106,10 @@
 
     private void connected(HttpConnection connection) {
         connections.put(connection, 0);
+        connection.exceptionHandler(failure -> LogEvent.of("caller-connection-failed")
+                .with("address", connection.remoteAddress())
+                .with("reason", failure.getMessage())
+                .debug(log));
         connection.closeHandler(closed -> connections.remove(connection));
     }
 
@@ -110,10 +119,14 @@
         active++;
         connections.merge(connection, 1, Integer::sum);
         Exchange exchange = new Exchange(context, request, facts, () -> ended(connection));
-        if (stopping) {
+        if (context.now() >= stoppingAt) {
             request.response().putHeader("connection", "close");
             request.response().endHandler(sent -> connection.close());
         }
+        if (context.now() >= stoppingAt + lastAdmissionMillis()) {
+            exchange.refuse(ErrorType.SHUTTING_DOWN, STOPPING_RETRY_MILLIS);
+            return;
+        }
         request.exceptionHandler(failure -> exchange.note("request-broken"));
         Buffer body = Buffer.buffer();
         request.handler(bytes -> {
@@ -128,6 +141,11 @@
         request.endHandler(read -> whenComplete(exchange, STARTING_LOOKS, () -> route(exchange, request, body)));
     }
 
+    /** Returns how long after the signal to stop requests are taken: what comes later might not end in time. */
+    private double lastAdmissionMillis() {
+        return context.bounds().graceMillis() * LAST_ADMISSION_SHARE;
+    }
+
     private int maxBodyBytes() {
         return context.fleet().table().map(table -> table.limits().bodyBytes()).orElse(MAX_BODY_BYTES);
     }
--- a/relay/src/main/java/org/endivehold/relay/serve/StreamFlow.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/StreamFlow.java
@@ -26,16 +26,8 @@
 final class StreamFlow implements Flow, UpstreamAttempt.Listener {
     /** Sends of one request, with those that did not run. */
     private static final int MAX_SENDS = 5;
-    /** Silence before the first event beyond the prediction that ends an attempt, in milliseconds. */
-    private static final double FIRST_SILENCE_MILLIS = 1_000;
-    /** How many times the prediction the first event may take beside that silence. */
-    private static final double FIRST_SILENCE_FACTOR = 2;
     /** An engine from which another request heard in this time is alive, in milliseconds. */
     private static final double ALIVE_MILLIS = 700;
-    /** Shortest silence between events that ends an attempt, in milliseconds. */
-    private static final double GAP_SILENCE_MILLIS = 1_200;
-    /** Silence between events that ends an attempt, in aims of the route. */
-    private static final double GAP_SILENCE_AIMS = 2;
     /** Time for which an engine that was full gets nothing from this request's daemon, in milliseconds. */
     private static final double FULL_MILLIS = 150;
     /** Part of the remaining time that a request may wait for room. */
@@ -235,10 +227,9 @@
 
     private void watchSilence() {
         double reads = context.engines().board().pendingReadMillis(job.writer());
-        double limit = reads
-                + (attemptFirst
-                        ? Math.max(GAP_SILENCE_MILLIS, GAP_SILENCE_AIMS * need().gapAimMillis())
-                        : FIRST_SILENCE_MILLIS + FIRST_SILENCE_FACTOR * placement.firstMillis());
+        double limit = attemptFirst
+                ? SilenceLimit.betweenEvents(need(), reads)
+                : SilenceLimit.beforeFirst(need(), placement.firstMillis(), reads);
         double left = heardAt + limit - context.now();
         silenceTimer = context.vertx().setTimer(Math.max(1, (long) left), timer -> {
             silenceTimer = -1;
--- a/relay/src/main/java/org/endivehold/relay/serve/UpstreamAttempt.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/UpstreamAttempt.java
@@ -46,6 +46,7 @@
             return;
         }
         request.exceptionHandler(this::broken);
+        request.connection().exceptionHandler(this::broken);
         request.response().onSuccess(this::head).onFailure(this::broken);
         if (body.length() == 0) {
             request.end().onFailure(this::broken);
