Count work that a new daemon is told of before it knows the engines; connect again at once

Change: requests are kept and counted when the engine becomes known; a test that failed before. A daemon that greets is connected at once instead of after up to 2 s. Also: unused members removed.

--- a/relay/src/main/java/org/endivehold/relay/engine/EngineBoard.java
+++ b/relay/src/main/java/org/endivehold/relay/engine/EngineBoard.java
@@ -22,13 +22,30 @@
     private final PartLoad partLoad = new PartLoad();
     private final Map<JobId, Entry> jobs = new LinkedHashMap<>();
 
-    private record Entry(EngineJob job, double expiresAt) {}
+    /** A request and what has to be known to account for it at an engine that becomes known later. */
+    private static final class Entry {
+        private final EngineJob job;
+        private final double placedAt;
+        private final double pace;
+        private double expiresAt;
+        private boolean writing;
+
+        Entry(EngineJob job, double placedAt, double pace) {
+            this.job = job;
+            this.placedAt = placedAt;
+            this.pace = pace;
+            this.expiresAt = placedAt + FORGET_AFTER_MILLIS;
+        }
+    }
 
-    /** States that an engine exists and how fast it is. */
+    /** States that an engine exists and how fast it is; requests that were told of before count from now on. */
     public void engine(String id, EngineProfile profile) {
         EngineLoad known = loads.get(id);
         if (known == null || !known.profile().equals(profile)) {
             loads.put(id, new EngineLoad(profile));
+            jobs.values().stream()
+                    .filter(entry -> entry.job.engines().contains(id))
+                    .forEach(entry -> place(entry, id));
         }
     }
 
@@ -49,22 +66,27 @@
         if (jobs.containsKey(job.id())) {
             return;
         }
-        double end = now + FORGET_AFTER_MILLIS;
-        for (String engine : job.engines()) {
-            EngineLoad load = loads.get(engine);
-            if (load != null) {
-                if (job.engines().size() > 1) {
-                    partLoad.add(
-                            load.profile()
-                                    .readMillis(
-                                            job.promptTokens(), job.engines().size()),
-                            now);
-                }
-                load.add(job, engine, now, pace);
-                end = Math.max(end, now + 2 * predictedRun(load, job) + FORGET_AFTER_MILLIS);
-            }
+        Entry entry = new Entry(job, now, pace);
+        jobs.put(job.id(), entry);
+        job.engines().forEach(engine -> place(entry, engine));
+    }
+
+    private void place(Entry entry, String engine) {
+        EngineLoad load = loads.get(engine);
+        if (load == null) {
+            return;
+        }
+        EngineJob job = entry.job;
+        if (job.engines().size() > 1) {
+            partLoad.add(
+                    load.profile().readMillis(job.promptTokens(), job.engines().size()), entry.placedAt);
+        }
+        load.add(job, engine, entry.placedAt, entry.pace);
+        double end = entry.placedAt + 2 * predictedRun(load, job) + FORGET_AFTER_MILLIS;
+        entry.expiresAt = Math.max(entry.expiresAt, end);
+        if (entry.writing) {
+            load.firstToken(job.id(), engine);
         }
-        jobs.put(job.id(), new Entry(job, end));
     }
 
     private static double predictedRun(EngineLoad load, EngineJob job) {
@@ -79,7 +101,8 @@
         if (entry == null) {
             return;
         }
-        for (String engine : entry.job().engines()) {
+        entry.writing = true;
+        for (String engine : entry.job.engines()) {
             EngineLoad load = loads.get(engine);
             if (load != null) {
                 load.firstToken(id, engine);
@@ -93,7 +116,7 @@
         if (entry == null) {
             return;
         }
-        for (String engine : entry.job().engines()) {
+        for (String engine : entry.job.engines()) {
             EngineLoad load = loads.get(engine);
             if (load != null) {
                 load.remove(id);
@@ -114,7 +137,7 @@
     public void expire(double now, String self) {
         List<JobId> old = new ArrayList<>();
         jobs.forEach((id, entry) -> {
-            if (entry.expiresAt() < now && !id.daemon().equals(self)) {
+            if (entry.expiresAt < now && !id.daemon().equals(self)) {
                 old.add(id);
             }
         });
@@ -124,7 +147,7 @@
     /** Returns the requests of one daemon. */
     public List<EngineJob> jobsOf(String daemon) {
         return jobs.values().stream()
-                .map(Entry::job)
+                .map(entry -> entry.job)
                 .filter(job -> job.id().daemon().equals(daemon))
                 .toList();
     }
@@ -132,19 +155,7 @@
     /** Tells whether a request has produced its first token. */
     public boolean writing(JobId id) {
         Entry entry = jobs.get(id);
-        if (entry == null) {
-            return false;
-        }
-        EngineLoad load = loads.get(entry.job().writer());
-        if (load == null) {
-            return false;
-        }
-        for (EnginePart part : load.parts()) {
-            if (part.job.id().equals(id)) {
-                return part.writing;
-            }
-        }
-        return false;
+        return entry != null && entry.writing;
     }
 
     /** Counts the requests that hold a slot of an engine. */
--- a/relay/src/main/java/org/endivehold/relay/engine/PartLoad.java
+++ b/relay/src/main/java/org/endivehold/relay/engine/PartLoad.java
@@ -27,7 +27,9 @@
     }
 
     private void age(double now) {
-        millis *= Math.exp((at - now) / WINDOW_MILLIS);
-        at = now;
+        if (now > at) {
+            millis *= Math.exp((at - now) / WINDOW_MILLIS);
+            at = now;
+        }
     }
 }
--- a/relay/src/main/java/org/endivehold/relay/limit/SlidingCount.java
+++ b/relay/src/main/java/org/endivehold/relay/limit/SlidingCount.java
@@ -1,9 +1,12 @@
 package org.endivehold.relay.limit;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
+
 /** Counts events in a sliding span of time. */
 final class SlidingCount {
     private final double spanMillis;
-    private final java.util.ArrayDeque<Double> times = new java.util.ArrayDeque<>();
+    private final Deque<Double> times = new ArrayDeque<>();
 
     SlidingCount(double spanMillis) {
         this.spanMillis = spanMillis;
--- a/relay/src/main/java/org/endivehold/relay/limit/UpstreamHealth.java
+++ b/relay/src/main/java/org/endivehold/relay/limit/UpstreamHealth.java
@@ -1,5 +1,6 @@
 package org.endivehold.relay.limit;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -104,7 +105,7 @@
     }
 
     /** Forgets upstreams that are gone. */
-    public void retain(java.util.Collection<String> upstreams) {
+    public void retain(Collection<String> upstreams) {
         states.keySet().retainAll(upstreams);
     }
 
--- a/relay/src/main/java/org/endivehold/relay/peer/PeerLink.java
+++ b/relay/src/main/java/org/endivehold/relay/peer/PeerLink.java
@@ -20,6 +20,7 @@
     NetSocket socket;
     long heardAt;
     int failures;
+    boolean opening;
 
     PeerLink(SocketAddress address) {
         this.address = address;
--- a/relay/src/main/java/org/endivehold/relay/peer/PeerMesh.java
+++ b/relay/src/main/java/org/endivehold/relay/peer/PeerMesh.java
@@ -75,14 +75,15 @@
         return server.listen(self.port(), self.host()).mapEmpty();
     }
 
-    /** Makes sure that a daemon at this address is connected. */
+    /** Makes sure that a daemon at this address is connected; tries at once, also after failures. */
     public void connect(SocketAddress address) {
         SocketAddress own = SocketAddress.inetSocketAddress(self.port(), self.host());
-        if (closed || address.equals(own) || links.containsKey(address)) {
+        if (closed || address.equals(own)) {
             return;
         }
-        links.put(address, new PeerLink(address));
-        open(links.get(address));
+        PeerLink link = links.computeIfAbsent(address, PeerLink::new);
+        link.failures = 0;
+        open(link);
     }
 
     /** Tells all connected daemons. */
@@ -152,10 +153,13 @@
     }
 
     private void open(PeerLink link) {
-        if (closed || links.get(link.address) != link) {
+        boolean known = links.containsValue(link);
+        if (closed || !known || link.open() || link.opening) {
             return;
         }
+        link.opening = true;
         client.connect(link.address).onComplete(done -> {
+            link.opening = false;
             if (done.failed()) {
                 link.failures++;
                 if (link.failures >= PeerLink.MAX_FAILURES) {
--- a/relay/src/main/java/org/endivehold/relay/serve/CallerServer.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/CallerServer.java
@@ -1,6 +1,7 @@
 package org.endivehold.relay.serve;
 
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServer;
@@ -83,7 +84,7 @@
     public Future<Void> drain() {
         stoppingAt = context.now();
         double endAt = stoppingAt + context.bounds().graceMillis() - END_BEFORE_GRACE_MILLIS;
-        io.vertx.core.Promise<Void> drained = io.vertx.core.Promise.promise();
+        Promise<Void> drained = Promise.promise();
         context.vertx().setTimer(CLOSE_IDLE_MILLIS, timer -> closeIdle());
         context.vertx().setPeriodic(CLOSE_IDLE_MILLIS + LOOK_MILLIS, LOOK_MILLIS, timer -> {
             if (active == 0 || context.now() >= endAt) {
--- a/relay/src/main/java/org/endivehold/relay/serve/Dialect.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/Dialect.java
@@ -18,9 +18,6 @@
     /** Reads the head of an upstream's answer. */
     AnswerFacts answer(int status, MultiMap headers);
 
-    /** Removes from an answer's headers the upstream's signature, for an answer that is not the upstream's own. */
-    void unsign(MultiMap headers);
-
     /** Returns the path on which readiness is asked for. */
     String readinessPath();
 }
--- a/relay/src/main/java/org/endivehold/relay/serve/UpstreamClient.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/UpstreamClient.java
@@ -21,7 +21,7 @@
 final class UpstreamClient {
     /** Longest time to open a connection, in milliseconds: many round trips, but less than a lost packet costs. */
     static final int CONNECT_MILLIS = 400;
-    /** Connections to one upstream at a time; the configuration's limit is kept by whoever sends. */
+    /** Connections to one upstream at a time: more than its slots can use, so that no request waits for one. */
     private static final int MAX_CONNECTIONS = 2_000;
 
     private final HttpClient client;
--- a/relay/src/main/java/org/endivehold/relay/state/FleetState.java
+++ b/relay/src/main/java/org/endivehold/relay/state/FleetState.java
@@ -83,11 +83,6 @@
         return Optional.ofNullable(upstreams.get(id));
     }
 
-    @Override
-    public Set<String> zonesOut() {
-        return Set.copyOf(zonesOut);
-    }
-
     /** Returns the ids of all known upstreams. */
     public Set<String> ids() {
         return upstreams.keySet();
--- a/relay/src/main/java/org/endivehold/relay/state/FleetView.java
+++ b/relay/src/main/java/org/endivehold/relay/state/FleetView.java
@@ -2,7 +2,6 @@
 
 import java.util.Collection;
 import java.util.Optional;
-import java.util.Set;
 import org.endivehold.relay.route.RoutingTable;
 
 /** What a daemon knows of the fleet at this moment. */
@@ -18,7 +17,4 @@
 
     /** Returns the upstream with an id, whether usable or not. */
     Optional<Upstream> upstream(String id);
-
-    /** Returns the zones that operators have taken out. */
-    Set<String> zonesOut();
 }
--- a/relay/src/test/java/org/endivehold/relay/engine/EnginePlacementTest.java
+++ b/relay/src/test/java/org/endivehold/relay/engine/EnginePlacementTest.java
@@ -180,4 +180,22 @@
         int seen = most;
         assertTrue(seen < PROFILE.slots(), () -> seen + " requests at one engine while others have room");
     }
+
+    @Test
+    void aDaemonThatHasJustStartedCountsWhatItWasToldBeforeItKnewTheEngines() {
+        EngineJob reading =
+                new EngineJob(new JobId("other", 1), List.of("engine-0"), List.of(45_000L), 45_000, 100, 1_500, 600);
+        EngineJob writing =
+                new EngineJob(new JobId("other", 2), List.of("engine-0"), List.of(5_000L), 5_000, 100, 300, 250);
+        board.add(reading, 0, 1);
+        board.add(writing, 0, 1);
+        board.firstToken(writing.id());
+        fleet(2);
+        assertEquals(2, board.occupied("engine-0"));
+        assertTrue(board.load("engine-0").passMillis() > 2 * PROFILE.stepMillis());
+        assertEquals("engine-1", place(SHORT, 10).engines().get(0));
+        board.remove(reading.id());
+        board.remove(writing.id());
+        assertEquals(0, board.occupied("engine-0"));
+    }
 }
--- a/relay/src/test/java/org/endivehold/relay/serve/PlainDialect.java
+++ b/relay/src/test/java/org/endivehold/relay/serve/PlainDialect.java
@@ -44,11 +44,6 @@
                 Optional.ofNullable(headers.get("fault")));
     }
 
-    @Override
-    public void unsign(MultiMap headers) {
-        headers.remove("signature");
-    }
-
     @Override
     public String readinessPath() {
         return "/ready";
--- a/relay/src/test/java/org/endivehold/relay/serve/RelayFixture.java
+++ b/relay/src/test/java/org/endivehold/relay/serve/RelayFixture.java
@@ -12,7 +12,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.apache.commons.rng.simple.RandomSource;
 import org.endivehold.misc.Ticker;
@@ -198,11 +197,6 @@
                 .findFirst();
     }
 
-    @Override
-    public Set<String> zonesOut() {
-        return Set.of();
-    }
-
     @Override
     public void close() throws Exception {
         await(vertx.close());
