Remove grants: capacity is used freely where upstreams are warm, divided where they are cold

Cause: grants, grantors, takeovers and their models guarded what engines guard themselves: a full engine refuses a request truthfully and its memory is protected by reservations.

Ruled out: equal shares as the default, which strand the part of an idle daemon and cut the memory of long prompts.

Change: the default capacity policy is cold-share: warm upstreams are not limited by the daemon, cold ones are divided among the daemons, by rendezvous hashing where there are fewer slots than daemons. Rendezvous hashing is one class now, used by the limit of cold upstreams on the platform too. ColdShareCapacityTest covers fleets of 1 to 400 daemons and daemons that not all know.

--- a/bench/src/main/java/org/endivehold/bench/fleet/Fleet.java
+++ b/bench/src/main/java/org/endivehold/bench/fleet/Fleet.java
@@ -179,7 +179,7 @@
         root.putObject("peers").put("port", 0);
         root.putObject("store").putArray("endpoints").add(standins.store().url());
         root.putObject("hosts").put("url", standins.hosts().url()).put("pollMillis", 500);
-        root.putObject("grants").put("policy", plan.policy().capacity());
+        root.putObject("capacity").put("policy", plan.policy().capacity());
         root.putObject("placement").put("policy", plan.policy().placement());
         root.putObject("shutdown").put("lagMillis", 200);
         try {
--- a/bench/src/main/java/org/endivehold/bench/fleet/FleetPolicy.java
+++ b/bench/src/main/java/org/endivehold/bench/fleet/FleetPolicy.java
@@ -3,10 +3,10 @@
 import java.util.Locale;
 import java.util.Optional;
 
-/** A pair of placement and sharing of capacity, under one name. */
+/** A pair of placement and capacity, under one name. */
 public enum FleetPolicy {
     /** The system as it ships. */
-    ENDIVEHOLD("least-predicted-time", "granted"),
+    ENDIVEHOLD("least-predicted-time", "cold-share"),
     /** Upstreams in turn, each daemon alone. */
     ROUND_ROBIN("round-robin", "unlimited"),
     /** The upstream with the fewest streams of this daemon, each daemon alone. */
@@ -34,7 +34,7 @@
     }
 
     /**
-     * Returns how capacity is shared.
+     * Returns the capacity policy.
      *
      * @return its name in the settings
      */
--- a/core/src/main/java/org/endivehold/grant/Amount.java
+++ b/core/src/main/java/org/endivehold/capacity/Amount.java
@@ -1,4 +1,4 @@
-package org.endivehold.grant;
+package org.endivehold.capacity;
 
 /**
  * A quantity of an upstream's capacity.
--- a/core/src/main/java/org/endivehold/grant/Capacity.java
+++ b/core/src/main/java/org/endivehold/capacity/Capacity.java
@@ -1,9 +1,8 @@
-package org.endivehold.grant;
+package org.endivehold.capacity;
 
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
-import org.endivehold.misc.StreamId;
 import org.endivehold.misc.UpstreamName;
 
 /**
@@ -14,7 +13,7 @@
     /**
      * Returns the name under which settings select the implementation.
      *
-     * @return {@code granted}, or a baseline: {@code unlimited}, {@code equal-share}
+     * @return {@code cold-share}, or a baseline: {@code unlimited}, {@code equal-share}
      */
     String name();
 
@@ -37,7 +36,7 @@
     Optional<Permit> acquire(UpstreamName upstream, long memoryTokens, long now);
 
     /**
-     * Reserves capacity for a long prompt at the grantors, all or nothing.
+     * Reserves capacity for a long prompt, all or nothing.
      *
      * @param request what is needed
      * @param now monotonic time in milliseconds
@@ -60,31 +59,4 @@
      * @param now monotonic time in milliseconds
      */
     void suspect(UpstreamName upstream, long now);
-
-    /**
-     * Tells how much work waits for capacity, for fair division between daemons.
-     *
-     * @param upstream an upstream that could serve the work
-     * @param slots streams or calls that wait
-     * @param memoryTokens their KV memory in tokens
-     */
-    void demand(UpstreamName upstream, int slots, long memoryTokens);
-
-    /**
-     * Tells that this daemon now answers for a stream on an engine: one that it starts, or one of a daemon that is gone
-     * and that it reads on for a caller. Such a stream is never freed as an orphan.
-     *
-     * @param upstream the engine
-     * @param stream the stream
-     */
-    default void streamStarted(UpstreamName upstream, StreamId stream) {}
-
-    /**
-     * Tells that this daemon has done with a stream: it ended, or its cancellation was asked for. If the engine still
-     * lists the stream a while later, the grantor has it cancelled.
-     *
-     * @param upstream the engine
-     * @param stream the stream
-     */
-    default void streamEnded(UpstreamName upstream, StreamId stream) {}
 }
--- a/core/src/main/java/org/endivehold/grant/ConfiguredCapacity.java
+++ b/core/src/main/java/org/endivehold/capacity/ConfiguredCapacity.java
@@ -1,4 +1,4 @@
-package org.endivehold.grant;
+package org.endivehold.capacity;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -14,11 +14,11 @@
 import org.endivehold.error.ErrorType;
 import org.endivehold.misc.UpstreamName;
 
-/**
- * Base of the capacities that each daemon derives from the configuration alone, without talking to others. They serve
- * as baselines in measurements: they do not know whether an upstream is cold.
- */
+/** Base of the capacities that each daemon derives from the configuration alone, without talking to others. */
 public abstract class ConfiguredCapacity implements Capacity, ConfigurationListener {
+    /** Limit of an upstream that limits itself. */
+    protected static final int WARM_SLOTS = Integer.MAX_VALUE;
+
     private final PermitBook permits = new PermitBook();
     private SortedMap<UpstreamName, Upstream> serving = new TreeMap<>();
 
@@ -29,9 +29,10 @@
      * Returns this daemon's part of an upstream.
      *
      * @param upstream a serving upstream
+     * @param now monotonic time in milliseconds
      * @return the part
      */
-    protected abstract Amount limit(Upstream upstream);
+    protected abstract Amount limit(Upstream upstream, long now);
 
     @Override
     public void activated(ConfigurationSnapshot snapshot) {
@@ -42,7 +43,7 @@
     public List<Share> shares(long now) {
         List<Share> shares = new ArrayList<>();
         for (Upstream upstream : serving.values()) {
-            Amount free = free(upstream);
+            Amount free = free(upstream, now);
             int used = used(upstream.name()).slots();
             shares.add(new Share(upstream.name(), free.slots(), free.memoryTokens(), used, 0, 0));
         }
@@ -52,7 +53,7 @@
     @Override
     public Optional<Permit> acquire(UpstreamName upstream, long memoryTokens, long now) {
         Upstream target = serving.get(upstream);
-        if (target == null || !free(target).covers(new Amount(1, memoryTokens))) {
+        if (target == null || !free(target, now).covers(new Amount(1, memoryTokens))) {
             return Optional.empty();
         }
         return Optional.of(permits.open(upstream, memoryTokens, false));
@@ -63,7 +64,7 @@
         List<Permit> taken = new ArrayList<>();
         long missing = request.memoryTokens();
         for (UpstreamName name : request.candidates()) {
-            long part = part(name, missing, request.mayBeSplit());
+            long part = part(name, missing, request.mayBeSplit(), now);
             if (part > 0) {
                 taken.add(permits.open(name, part, true));
                 missing -= part;
@@ -85,15 +86,12 @@
     @Override
     public void suspect(UpstreamName upstream, long now) {}
 
-    @Override
-    public void demand(UpstreamName upstream, int slots, long memoryTokens) {}
-
-    private long part(UpstreamName name, long missing, boolean split) {
+    private long part(UpstreamName name, long missing, boolean split, long now) {
         Upstream upstream = serving.get(name);
         if (upstream == null) {
             return 0;
         }
-        Amount free = free(upstream);
+        Amount free = free(upstream, now);
         if (free.slots() == 0 || (!split && free.memoryTokens() < missing)) {
             return 0;
         }
@@ -101,8 +99,8 @@
         return Math.min(missing, most);
     }
 
-    private Amount free(Upstream upstream) {
-        return limit(upstream).minus(used(upstream.name()));
+    private Amount free(Upstream upstream, long now) {
+        return limit(upstream, now).minus(used(upstream.name()));
     }
 
     private Amount used(UpstreamName name) {
--- a/core/src/main/java/org/endivehold/grant/EqualShareCapacity.java
+++ b/core/src/main/java/org/endivehold/capacity/EqualShareCapacity.java
@@ -1,4 +1,4 @@
-package org.endivehold.grant;
+package org.endivehold.capacity;
 
 import java.util.function.IntSupplier;
 import org.endivehold.config.Upstream;
@@ -28,7 +28,7 @@
     }
 
     @Override
-    protected Amount limit(Upstream upstream) {
+    protected Amount limit(Upstream upstream, long now) {
         int count = Math.max(1, daemons.getAsInt());
         return new Amount(Math.max(1, upstream.slots() / count), upstream.memoryTokens() / count);
     }
--- a/core/src/main/java/org/endivehold/grant/Permit.java
+++ b/core/src/main/java/org/endivehold/capacity/Permit.java
@@ -1,4 +1,4 @@
-package org.endivehold.grant;
+package org.endivehold.capacity;
 
 import org.endivehold.misc.UpstreamName;
 
@@ -8,6 +8,6 @@
  * @param id number unique in this daemon
  * @param upstream the upstream
  * @param memoryTokens KV memory that the permit covers, in tokens
- * @param reserved whether it was reserved at the grantor rather than taken from the pooled share
+ * @param reserved whether it was reserved for a long prompt rather than taken from the pooled share
  */
 public record Permit(long id, UpstreamName upstream, long memoryTokens, boolean reserved) {}
--- a/core/src/main/java/org/endivehold/grant/PermitBook.java
+++ b/core/src/main/java/org/endivehold/capacity/PermitBook.java
@@ -1,4 +1,4 @@
-package org.endivehold.grant;
+package org.endivehold.capacity;
 
 import java.util.HashMap;
 import java.util.Map;
--- a/core/src/main/java/org/endivehold/grant/Share.java
+++ b/core/src/main/java/org/endivehold/capacity/Share.java
@@ -1,4 +1,4 @@
-package org.endivehold.grant;
+package org.endivehold.capacity;
 
 import org.endivehold.misc.UpstreamName;
 
@@ -9,7 +9,7 @@
  * @param freeSlots slots not in use
  * @param freeMemoryTokens KV memory not in use, in tokens
  * @param usedSlots slots in use by this daemon
- * @param waitingPrefillTokens prompt tokens that waited there by the grantor's last report
+ * @param waitingPrefillTokens prompt tokens that waited there by its last report
  * @param reportAgeMillis least age of that report, in milliseconds
  */
 public record Share(
--- a/core/src/main/java/org/endivehold/grant/UnlimitedCapacity.java
+++ b/core/src/main/java/org/endivehold/capacity/UnlimitedCapacity.java
@@ -1,4 +1,4 @@
-package org.endivehold.grant;
+package org.endivehold.capacity;
 
 import org.endivehold.config.Upstream;
 
@@ -16,7 +16,7 @@
     }
 
     @Override
-    protected Amount limit(Upstream upstream) {
-        return new Amount(Integer.MAX_VALUE, Long.MAX_VALUE);
+    protected Amount limit(Upstream upstream, long now) {
+        return new Amount(WARM_SLOTS, Long.MAX_VALUE);
     }
 }
--- a/daemon/src/main/java/org/endivehold/daemon/grant/CapacityService.java
+++ b/daemon/src/main/java/org/endivehold/daemon/capacity/CapacityService.java
@@ -1,26 +1,27 @@
-package org.endivehold.daemon.grant;
+package org.endivehold.daemon.capacity;
 
 import io.vertx.core.Future;
+import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletionStage;
+import org.endivehold.capacity.Capacity;
+import org.endivehold.capacity.ColdShareCapacity;
+import org.endivehold.capacity.ConfiguredCapacity;
+import org.endivehold.capacity.EqualShareCapacity;
+import org.endivehold.capacity.Permit;
+import org.endivehold.capacity.ReservationRequest;
+import org.endivehold.capacity.Share;
+import org.endivehold.capacity.UnlimitedCapacity;
 import org.endivehold.daemon.DaemonContext;
 import org.endivehold.daemon.config.ActiveConfiguration;
 import org.endivehold.daemon.kernel.Kernel;
 import org.endivehold.daemon.kernel.Service;
 import org.endivehold.error.EndiveholdException;
 import org.endivehold.error.ErrorType;
-import org.endivehold.grant.Capacity;
-import org.endivehold.grant.ConfiguredCapacity;
-import org.endivehold.grant.EqualShareCapacity;
-import org.endivehold.grant.GrantedCapacity;
-import org.endivehold.grant.Permit;
-import org.endivehold.grant.ReservationRequest;
-import org.endivehold.grant.Share;
-import org.endivehold.grant.UnlimitedCapacity;
 import org.endivehold.membership.LiveHosts;
-import org.endivehold.misc.StreamId;
 import org.endivehold.misc.UpstreamName;
 
 /** The capacity of this daemon under the name {@code capacity}, by the implementation that the settings select. */
@@ -47,7 +48,7 @@
 
     @Override
     public Set<String> needs() {
-        return Set.of(ActiveConfiguration.NAME, GrantService.NAME);
+        return Set.of(ActiveConfiguration.NAME, LiveHosts.NAME);
     }
 
     @Override
@@ -61,13 +62,14 @@
     }
 
     private Capacity select(Kernel kernel) throws EndiveholdException {
-        String policy = context.settings().grants().policy();
+        LiveHosts hosts = kernel.find(LiveHosts.NAME, LiveHosts.class);
+        String policy = context.settings().capacity().policy();
         return switch (policy) {
-            case GrantedCapacity.NAME ->
-                kernel.find(GrantService.NAME, GrantService.class).capacity();
+            case ColdShareCapacity.NAME ->
+                configured(kernel, new ColdShareCapacity(context.settings().host(), () -> names(hosts)));
             case UnlimitedCapacity.NAME -> configured(kernel, new UnlimitedCapacity());
-            case EqualShareCapacity.NAME -> configured(kernel, new EqualShareCapacity(() -> liveDaemons(kernel)));
-            default -> throw new EndiveholdException(ErrorType.SETTINGS_INVALID, "grants.policy", policy);
+            case EqualShareCapacity.NAME -> configured(kernel, new EqualShareCapacity(hosts::liveCount));
+            default -> throw new EndiveholdException(ErrorType.SETTINGS_INVALID, "capacity.policy", policy);
         };
     }
 
@@ -76,9 +78,11 @@
         return capacity;
     }
 
-    private static int liveDaemons(Kernel kernel) {
-        List<LiveHosts> found = kernel.all(LiveHosts.class);
-        return found.isEmpty() ? 1 : found.get(0).liveCount();
+    private static Collection<String> names(LiveHosts hosts) {
+        List<String> names = new ArrayList<>();
+        names.add(hosts.self().host().value());
+        hosts.others().forEach(member -> names.add(member.host().value()));
+        return names;
     }
 
     @Override
@@ -110,19 +114,4 @@
     public void suspect(UpstreamName upstream, long now) {
         delegate.suspect(upstream, now);
     }
-
-    @Override
-    public void demand(UpstreamName upstream, int slots, long memoryTokens) {
-        delegate.demand(upstream, slots, memoryTokens);
-    }
-
-    @Override
-    public void streamStarted(UpstreamName upstream, StreamId stream) {
-        delegate.streamStarted(upstream, stream);
-    }
-
-    @Override
-    public void streamEnded(UpstreamName upstream, StreamId stream) {
-        delegate.streamEnded(upstream, stream);
-    }
 }
--- a/daemon/src/main/java/org/endivehold/daemon/operator/StatusCollector.java
+++ b/daemon/src/main/java/org/endivehold/daemon/operator/StatusCollector.java
@@ -6,13 +6,13 @@
 import io.vertx.core.json.Json;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
+import org.endivehold.capacity.Capacity;
+import org.endivehold.capacity.Share;
 import org.endivehold.daemon.DaemonContext;
 import org.endivehold.daemon.config.ActiveConfiguration;
 import org.endivehold.daemon.kernel.Kernel;
 import org.endivehold.daemon.kernel.ReadinessCheck;
 import org.endivehold.daemon.kernel.StatusContributor;
-import org.endivehold.grant.Capacity;
-import org.endivehold.grant.Share;
 
 /** Collects the status of all services of this daemon into one JSON document. */
 final class StatusCollector {
--- a/daemon/src/main/java/org/endivehold/daemon/request/EngineStream.java
+++ b/daemon/src/main/java/org/endivehold/daemon/request/EngineStream.java
@@ -1,8 +1,8 @@
 package org.endivehold.daemon.request;
 
 import java.util.List;
+import org.endivehold.capacity.Permit;
 import org.endivehold.error.EndiveholdException;
-import org.endivehold.grant.Permit;
 import org.endivehold.misc.StreamId;
 import org.endivehold.misc.UpstreamName;
 import org.endivehold.upstream.Engine;
@@ -98,7 +98,6 @@
      * @param request the request
      */
     void start(int attempt, GenerateRequest request) {
-        resources.capacity().streamStarted(upstream, stream);
         Connection next = new Connection(attempt);
         connection = next;
         opened(next, engine.start(request, next));
@@ -111,7 +110,6 @@
      * @param offset tokens that were received already
      */
     void resume(int attempt, long offset) {
-        resources.capacity().streamStarted(upstream, stream);
         resumes++;
         accepted = true;
         Connection next = new Connection(attempt);
@@ -134,7 +132,6 @@
     void complete() {
         if (!closed) {
             closed = true;
-            resources.capacity().streamEnded(upstream, stream);
             release();
         }
     }
@@ -148,7 +145,6 @@
         if (handle != null) {
             handle.cancel();
         }
-        resources.capacity().streamEnded(upstream, stream);
         cancel(CANCEL_TRIES);
     }
 
--- a/daemon/src/main/java/org/endivehold/daemon/request/GenerationService.java
+++ b/daemon/src/main/java/org/endivehold/daemon/request/GenerationService.java
@@ -12,23 +12,22 @@
 import org.endivehold.admission.AdmissionQueue;
 import org.endivehold.admission.Refusal;
 import org.endivehold.admission.ServiceTimeEstimator;
+import org.endivehold.capacity.Capacity;
 import org.endivehold.daemon.DaemonContext;
+import org.endivehold.daemon.capacity.CapacityService;
 import org.endivehold.daemon.config.ActiveConfiguration;
-import org.endivehold.daemon.grant.CapacityService;
 import org.endivehold.daemon.kernel.Kernel;
 import org.endivehold.daemon.kernel.Service;
 import org.endivehold.daemon.kernel.StatusContributor;
 import org.endivehold.daemon.upstream.UpstreamDirectory;
 import org.endivehold.error.EndiveholdException;
 import org.endivehold.error.ErrorType;
-import org.endivehold.grant.Capacity;
 import org.endivehold.placement.PlacementPolicies;
 import org.endivehold.stream.RetryBudget;
 
 /** Runs generation calls over the engines that this daemon has capacity on. */
 public final class GenerationService implements Service, GenerationRunner, StatusContributor {
     private static final long PUMP_MILLIS = 10;
-    private static final long DEMAND_MILLIS = 200;
     private static final long TICK_MILLIS = 5_000;
     private static final long RETRY_AFTER_MILLIS = 1_000;
 
@@ -40,7 +39,6 @@
     private GenerationResources resources;
     private EngineSelector selector;
     private Admission admission;
-    private DemandReport demand;
     private LongPromptStarter longPrompts;
     private Reattachment reattachment;
     private AdmissionQueue<GenerationRun> queue;
@@ -86,11 +84,9 @@
         selector = new EngineSelector(resources);
         queue = new AdmissionQueue<>(context.settings().limits().maxQueued());
         admission = new Admission(resources, selector);
-        demand = new DemandReport(resources, selector);
         longPrompts = new LongPromptStarter(resources, selector);
         resources.configuration().listen(snapshot -> selector.configured(snapshot.configuration()));
         every(PUMP_MILLIS, this::pump);
-        every(DEMAND_MILLIS, () -> demand.report(waitingRuns()));
         every(TICK_MILLIS, () -> List.copyOf(running.keySet()).forEach(GenerationRun::tick));
         every(CacheEventReader.PERIOD_MILLIS, new CacheEventReader(resources, selector)::readNext);
         return Future.succeededFuture();
@@ -229,12 +225,6 @@
         }
     }
 
-    private List<GenerationRun> waitingRuns() {
-        List<GenerationRun> runs = new ArrayList<>(displaced);
-        queue.entries().forEach(entry -> runs.add(entry.item()));
-        return runs;
-    }
-
     private void checkDrained() {
         if (running.isEmpty() && reattachment.isIdle()) {
             drained.ifPresent(Promise::tryComplete);
--- a/daemon/src/main/java/org/endivehold/daemon/request/LongPromptStarter.java
+++ b/daemon/src/main/java/org/endivehold/daemon/request/LongPromptStarter.java
@@ -5,11 +5,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.endivehold.capacity.Permit;
+import org.endivehold.capacity.ReservationRequest;
 import org.endivehold.config.Upstream;
 import org.endivehold.error.EndiveholdException;
 import org.endivehold.error.ErrorType;
-import org.endivehold.grant.Permit;
-import org.endivehold.grant.ReservationRequest;
 import org.endivehold.misc.UpstreamName;
 import org.endivehold.placement.Candidate;
 
--- a/daemon/src/main/java/org/endivehold/daemon/request/PermitQueue.java
+++ b/daemon/src/main/java/org/endivehold/daemon/request/PermitQueue.java
@@ -13,12 +13,12 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.endivehold.capacity.Capacity;
+import org.endivehold.capacity.Permit;
 import org.endivehold.daemon.DaemonContext;
 import org.endivehold.daemon.config.ActiveConfiguration;
 import org.endivehold.error.EndiveholdException;
 import org.endivehold.error.ErrorType;
-import org.endivehold.grant.Capacity;
-import org.endivehold.grant.Permit;
 import org.endivehold.misc.RouteName;
 import org.endivehold.misc.UpstreamName;
 import org.endivehold.placement.PlainCandidates;
@@ -143,8 +143,6 @@
         }
         if (queue.isEmpty()) {
             routes.remove(route);
-        } else {
-            candidates(route).forEach(upstream -> capacity.demand(upstream, queue.size(), 0));
         }
         ends.forEach(Runnable::run);
     }
--- a/daemon/src/main/java/org/endivehold/daemon/request/PlainCallService.java
+++ b/daemon/src/main/java/org/endivehold/daemon/request/PlainCallService.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.endivehold.admission.RetryBudget;
+import org.endivehold.capacity.Capacity;
 import org.endivehold.config.Customer;
 import org.endivehold.daemon.DaemonContext;
 import org.endivehold.daemon.config.ActiveConfiguration;
@@ -18,7 +19,6 @@
 import org.endivehold.daemon.upstream.UpstreamDirectory;
 import org.endivehold.error.EndiveholdException;
 import org.endivehold.error.ErrorType;
-import org.endivehold.grant.Capacity;
 import org.endivehold.misc.CustomerName;
 import org.endivehold.upstream.PlainAnswer;
 
--- a/daemon/src/main/java/org/endivehold/daemon/request/PromptLegs.java
+++ b/daemon/src/main/java/org/endivehold/daemon/request/PromptLegs.java
@@ -3,9 +3,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import org.endivehold.capacity.Permit;
 import org.endivehold.error.EndiveholdException;
 import org.endivehold.error.ErrorType;
-import org.endivehold.grant.Permit;
 import org.endivehold.misc.StreamId;
 import org.endivehold.misc.UpstreamName;
 import org.endivehold.placement.Candidate;
@@ -84,7 +84,6 @@
     private GenerateRequest part(int leg) {
         EngineNeed need = run.need();
         legStream = resources.streams().next();
-        resources.capacity().streamStarted(permits.get(leg).upstream(), legStream);
         GenerateRequest.Builder builder = GenerateRequest.builder(legStream, resources.owner(), need.version())
                 .prompt(parts.get(leg))
                 .maxTokens(0)
@@ -95,7 +94,6 @@
     }
 
     private void exported(CacheHandle handle, Throwable failure) {
-        resources.capacity().streamEnded(permits.get(handles.size()).upstream(), legStream);
         if (closed) {
             Permit permit = permits.get(handles.size());
             if (handle == null) {
--- a/daemon/src/main/java/org/endivehold/daemon/settings/Settings.java
+++ b/daemon/src/main/java/org/endivehold/daemon/settings/Settings.java
@@ -19,7 +19,7 @@
  * @param hosts the platform's host list
  * @param limits bounds on what callers may send
  * @param membership failure detection
- * @param grants sharing of capacity
+ * @param capacity what this daemon may use of the upstreams
  * @param placement choice of upstreams
  * @param retry repeated attempts
  * @param ledger at-most-once calls
@@ -36,7 +36,7 @@
         Hosts hosts,
         Limits limits,
         Membership membership,
-        Grants grants,
+        CapacityPolicy capacity,
         Placement placement,
         Retry retry,
         LedgerSettings ledger,
@@ -125,24 +125,11 @@
     public record Membership(long periodMillis, long ackTimeoutMillis, int indirectProbes, int suspicionPeriods) {}
 
     /**
-     * Sharing of capacity.
+     * What this daemon may use of the upstreams.
      *
-     * @param policy {@code granted}, {@code unlimited} or {@code equal-share}
-     * @param groups number of grant groups; the same at every daemon
-     * @param leaseMillis time to live of a grantor's lease in milliseconds
-     * @param grantMillis time to live of a grant in milliseconds
-     * @param renewMillis time between renewals in milliseconds
-     * @param pauseMillis longest pause of the event loop after which grants are used without revalidation
-     * @param orderMillis longest time that an order can be under way in milliseconds
+     * @param policy {@code cold-share}, {@code unlimited} or {@code equal-share}
      */
-    public record Grants(
-            String policy,
-            int groups,
-            long leaseMillis,
-            long grantMillis,
-            long renewMillis,
-            long pauseMillis,
-            long orderMillis) {}
+    public record CapacityPolicy(String policy) {}
 
     /**
      * Choice of upstreams.
--- a/daemon/src/main/java/org/endivehold/daemon/settings/SettingsRules.java
+++ b/daemon/src/main/java/org/endivehold/daemon/settings/SettingsRules.java
@@ -4,7 +4,6 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import org.endivehold.daemon.settings.Settings.Grants;
 import org.endivehold.daemon.settings.Settings.Tls;
 
 /** Rules between fields, and files that must be readable. */
@@ -15,7 +14,6 @@
         List<SettingsFault> faults = new ArrayList<>();
         readable(faults, "/operators/tokenFile", settings.operators().tokenFile());
         settings.peers().tls().ifPresent(tls -> tlsFiles(faults, tls));
-        grants(faults, settings.grants());
         if (settings.membership().ackTimeoutMillis() >= settings.membership().periodMillis()) {
             faults.add(new SettingsFault("/membership/ackTimeoutMillis", "must be below periodMillis"));
         }
@@ -25,15 +23,6 @@
         return faults;
     }
 
-    private static void grants(List<SettingsFault> faults, Grants grants) {
-        if (grants.renewMillis() * 2 > grants.grantMillis()) {
-            faults.add(new SettingsFault("/grants/renewMillis", "must be at most half of grantMillis"));
-        }
-        if (grants.renewMillis() * 2 > grants.leaseMillis()) {
-            faults.add(new SettingsFault("/grants/renewMillis", "must be at most half of leaseMillis"));
-        }
-    }
-
     private static void tlsFiles(List<SettingsFault> faults, Tls tls) {
         readable(faults, "/peers/tls/certificateFile", tls.certificateFile());
         readable(faults, "/peers/tls/keyFile", tls.keyFile());
--- a/relay/src/main/java/org/endivehold/relay/limit/ColdLimit.java
+++ b/relay/src/main/java/org/endivehold/relay/limit/ColdLimit.java
@@ -1,10 +1,9 @@
 package org.endivehold.relay.limit;
 
-import java.nio.charset.StandardCharsets;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
-import org.apache.commons.codec.digest.MurmurHash3;
+import org.endivehold.misc.Rendezvous;
 
 /**
  * How many requests a second one daemon may send to a cold upstream.
@@ -63,18 +62,10 @@
             return each;
         }
         int chosen = (int) Math.floor(bound * CHOSEN_SHARE);
-        int own = hash(self, upstream);
-        long better = daemons.stream()
-                .filter(other -> !other.equals(self) && hash(other, upstream) > own)
-                .count();
-        return better < chosen ? 1 : 0;
+        return Rendezvous.chosen(self, daemons, upstream, chosen) ? 1 : 0;
     }
 
     private SlidingCount count(String upstream) {
         return sent.computeIfAbsent(upstream, id -> new SlidingCount(SPAN_MILLIS));
     }
-
-    private static int hash(String daemon, String upstream) {
-        return MurmurHash3.hash32x86((daemon + '/' + upstream).getBytes(StandardCharsets.UTF_8));
-    }
 }
--- a/relay/src/main/java/org/endivehold/relay/serve/EngineWork.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/EngineWork.java
@@ -1,11 +1,10 @@
 package org.endivehold.relay.serve;
 
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
-import org.apache.commons.codec.digest.MurmurHash3;
+import org.endivehold.misc.Rendezvous;
 import org.endivehold.misc.Ticker;
 import org.endivehold.relay.engine.EngineBoard;
 import org.endivehold.relay.engine.EngineCandidate;
@@ -55,7 +54,7 @@
      * Returns this daemon's dislike of an engine, from 0 to 1: spread evenly, always the same, other daemons differ.
      */
     double preference(String engine) {
-        int hash = MurmurHash3.hash32x86((self + '/' + engine).getBytes(StandardCharsets.UTF_8));
+        int hash = Rendezvous.rank(self, engine);
         return (hash >>> 1) / (double) Integer.MAX_VALUE;
     }
 
--- a/wire/src/main/java/org/endivehold/wire/MessageType.java
+++ b/wire/src/main/java/org/endivehold/wire/MessageType.java
@@ -1,6 +1,6 @@
 package org.endivehold.wire;
 
-/** Every kind of message with its number on the wire; numbers are never used again. */
+/** Every kind of message with its number on the wire; numbers are never used again, nor are 20 to 29. */
 public enum MessageType {
     /** {@link Hello}. */
     HELLO(1, Hello.class),
@@ -8,26 +8,6 @@
     FAILURE(2, Failure.class),
     /** {@link HeartbeatMessage}. */
     HEARTBEAT(10, HeartbeatMessage.class),
-    /** {@link RenewRequest}. */
-    RENEW_REQUEST(20, RenewRequest.class),
-    /** {@link RenewAnswer}. */
-    RENEW_ANSWER(21, RenewAnswer.class),
-    /** {@link FenceRequest}. */
-    FENCE_REQUEST(22, FenceRequest.class),
-    /** {@link FenceAnswer}. */
-    FENCE_ANSWER(23, FenceAnswer.class),
-    /** {@link ChangeRequest}. */
-    CHANGE_REQUEST(24, ChangeRequest.class),
-    /** {@link ChangeAnswer}. */
-    CHANGE_ANSWER(25, ChangeAnswer.class),
-    /** {@link ReserveRequest}. */
-    RESERVE_REQUEST(26, ReserveRequest.class),
-    /** {@link ReserveAnswer}. */
-    RESERVE_ANSWER(27, ReserveAnswer.class),
-    /** {@link GrantorsRequest}. */
-    GRANTORS_REQUEST(28, GrantorsRequest.class),
-    /** {@link GrantorsAnswer}. */
-    GRANTORS_ANSWER(29, GrantorsAnswer.class),
     /** {@link ConfigFetch}. */
     CONFIG_FETCH(40, ConfigFetch.class),
     /** {@link ConfigDelta}. */
