Start no further leg of a prompt in a zone that went out

Ruled out: late activation of the configuration; the same daemon placed other requests rightly at that time.

Change: each leg looks at the serving engines again. GenerationFailureTest.noFurtherLegStartsInAZoneThatWentOut failed before (2 legs, 1 allowed) and passes.

--- a/daemon/src/main/java/org/endivehold/daemon/request/PromptLegs.java
+++ b/daemon/src/main/java/org/endivehold/daemon/request/PromptLegs.java
@@ -18,8 +18,9 @@
 /**
  * Serves a prompt that exceeds one engine's memory over several engines in steps. Each engine but the last prefills its
  * part with the caches of the parts before it attached, and exports its own; the last prefills the rest and generates
- * with all caches attached. However the request ends, every cache is released, and every permit given back once its
- * engine has confirmed that.
+ * with all caches attached. An engine that takes no new work any more, since its zone went out or it leaves, gets no
+ * further leg. However the request ends, every cache is released, and every permit given back once its engine has
+ * confirmed that.
  */
 final class PromptLegs {
     private static final int RELEASE_TRIES = 5;
@@ -72,6 +73,10 @@
             return;
         }
         UpstreamName upstream = permits.get(leg).upstream();
+        if (!selector.serving(run.need().version()).containsKey(upstream)) {
+            failed(new EndiveholdException(ErrorType.NO_UPSTREAM, upstream));
+            return;
+        }
         run.report().note("leg", "upstream=" + upstream + " number=" + (leg + 1) + " of=" + parts.size());
         try {
             Engine engine = resources.upstreams().engine(upstream);
--- a/daemon/src/test/java/org/endivehold/daemon/request/FakeEngine.java
+++ b/daemon/src/test/java/org/endivehold/daemon/request/FakeEngine.java
@@ -32,6 +32,8 @@
     boolean accepts = true;
     Script onStart = FakeEngine::answerAll;
     Script onResume = FakeEngine::answerAll;
+    /** Runs when a part of a prompt has been read. */
+    Runnable onExport = () -> {};
 
     /** What an engine does with one stream. */
     interface Script {
@@ -115,6 +117,7 @@
         CacheHandle handle = new CacheHandle(
                 name, "cache-" + exported.size(), (request.prompt().length() + 3) / 4);
         exported.add(handle);
+        onExport.run();
         return CompletableFuture.completedFuture(handle);
     }
 
--- a/daemon/src/test/java/org/endivehold/daemon/request/GenerationFailureTest.java
+++ b/daemon/src/test/java/org/endivehold/daemon/request/GenerationFailureTest.java
@@ -8,6 +8,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import org.endivehold.config.AvailabilityZone;
 import org.endivehold.config.RequestClass;
 import org.endivehold.error.EndiveholdException;
 import org.endivehold.error.ErrorType;
@@ -212,6 +213,21 @@
         }
     }
 
+    /** Pattern: a zone is taken out while a prompt is read in legs there. */
+    @Test
+    void noFurtherLegStartsInAZoneThatWentOut() throws Exception {
+        try (GenerationFixture fixture = new GenerationFixture("e1", "e2", "e3")) {
+            fixture.capacity.memoryTokens = 100;
+            fixture.engines.values().forEach(e -> e.onExport = () -> fixture.zoneState = AvailabilityZone.State.OUT);
+            String prompt = "0123456789".repeat(100);
+            GenerationCall call = fixture.call(GenerationFixture.route(RequestClass.INTERACTIVE, 50), prompt, 4, 500);
+            GenerationServiceTest.failure(fixture.submit(call));
+            assertEquals(1, exported(fixture).size());
+            assertEquals(exported(fixture), released(fixture));
+            assertClean(fixture);
+        }
+    }
+
     @Test
     void aPromptBeyondTheFleetIsRefusedWithTheLargestLength() throws Exception {
         try (GenerationFixture fixture = new GenerationFixture("e1", "e2")) {
