Remove the membership protocol and the host list: daemons register under a lease

Cause: the platform's store holds leased entries and watches, so failure detection between daemons and a second list of hosts are needless.

Ruled out: announcing the revision in force in the entries, which would make every publish a burst of writes from all daemons; neighbours are asked once a second already, and the store tells each daemon of a new head by itself.

Change: HostRegistry writes one leased entry per daemon and follows the others. Membership settings are the lease and its renewal. The tool's view of the fleet shows what daemons use of each upstream; the columns of granted slots and waiting tokens went with the grants.

A test failed on the way: a daemon that lost store and neighbours did not count as isolated if it had not yet asked any neighbour; registered neighbours count as known now (OperatorToolTest).

--- a/cli/src/main/java/org/endivehold/cli/FleetView.java
+++ b/cli/src/main/java/org/endivehold/cli/FleetView.java
@@ -62,46 +62,31 @@
     }
 
     private void upstreams() {
-        Map<String, Use> uses = uses();
+        Map<String, Long> used = usedSlots();
         List<List<String>> rows = new ArrayList<>();
         for (JsonObject upstream : objects("upstreams")) {
-            Use use = uses.getOrDefault(upstream.getString("name"), Use.NONE);
             rows.add(List.of(
                     upstream.getString("name"),
                     upstream.getString("type"),
                     upstream.getString("zone"),
                     upstream.getString("state"),
                     upstream.getValue("slots").toString(),
-                    Long.toString(use.used() + use.free()),
-                    Long.toString(use.used()),
-                    Long.toString(use.waitingTokens())));
+                    Long.toString(used.getOrDefault(upstream.getString("name"), 0L))));
         }
-        table(List.of("UPSTREAM", "TYPE", "ZONE", "STATE", "SLOTS", "GRANTED", "IN USE", "WAITING TOKENS"), rows);
+        table(List.of("UPSTREAM", "TYPE", "ZONE", "STATE", "SLOTS", "IN USE"), rows);
     }
 
-    /** What all daemons together may use of an upstream, and use. */
-    private record Use(long used, long free, long waitingTokens) {
-        static final Use NONE = new Use(0, 0, 0);
-
-        Use plus(JsonObject share) {
-            return new Use(
-                    used + share.getLong("usedSlots", 0L),
-                    free + share.getLong("freeSlots", 0L),
-                    Math.max(waitingTokens, share.getLong("waitingPrefillTokens", 0L)));
-        }
-    }
-
-    private Map<String, Use> uses() {
-        Map<String, Use> uses = new TreeMap<>();
+    /** Sums what all daemons use of each upstream. */
+    private Map<String, Long> usedSlots() {
+        Map<String, Long> used = new TreeMap<>();
         for (JsonObject daemon : objects("daemons")) {
             JsonArray shares = array(parts(daemon), "capacity");
             for (int i = 0; i < shares.size(); i++) {
                 JsonObject share = shares.getJsonObject(i);
-                String name = share.getString("upstream");
-                uses.put(name, uses.getOrDefault(name, Use.NONE).plus(share));
+                used.merge(share.getString("upstream"), share.getLong("usedSlots", 0L), Long::sum);
             }
         }
-        return uses;
+        return used;
     }
 
     private void daemons() {
--- a/cli/src/main/java/org/endivehold/cli/Publishing.java
+++ b/cli/src/main/java/org/endivehold/cli/Publishing.java
@@ -63,9 +63,6 @@
         JsonArray daemons = fleet.getJsonArray("daemons", new JsonArray());
         for (int i = 0; i < daemons.size(); i++) {
             JsonObject daemon = daemons.getJsonObject(i);
-            if ("dead".equals(daemon.getString("membership"))) {
-                continue;
-            }
             if (!daemon.getBoolean("answered", false)) {
                 lagging.add(daemon.getString("host") + " (does not answer)");
             } else if (FleetView.revision(daemon) < revision) {
--- a/core/src/main/java/org/endivehold/capacity/ConfiguredCapacity.java
+++ b/core/src/main/java/org/endivehold/capacity/ConfiguredCapacity.java
@@ -45,7 +45,7 @@
         for (Upstream upstream : serving.values()) {
             Amount free = free(upstream, now);
             int used = used(upstream.name()).slots();
-            shares.add(new Share(upstream.name(), free.slots(), free.memoryTokens(), used, 0, 0));
+            shares.add(new Share(upstream.name(), free.slots(), free.memoryTokens(), used));
         }
         return shares;
     }
--- a/core/src/main/java/org/endivehold/config/ActivationState.java
+++ b/core/src/main/java/org/endivehold/config/ActivationState.java
@@ -12,7 +12,7 @@
  * Decides which revision a daemon fetches, from where, and whether it comes into force.
  *
  * <p>There are two sources: the head in the key-value service, learnt by a watch and by polling, and the neighbours,
- * whose heartbeats announce what they have in force. The highest revision announced is fetched, one fetch at a time; of
+ * whose answers announce what they have in force. The highest revision announced is fetched, one fetch at a time; of
  * several sources the store is asked first, and a source that failed only after a delay. So a daemon that lost the
  * store follows any neighbour that has not, and one that lost its neighbours follows the store.
  *
@@ -90,18 +90,20 @@
     }
 
     /**
-     * Takes note of what others tell about a neighbour; no sign that any daemon can be reached.
+     * Takes note that a neighbour exists; no sign that it can be reached.
      *
      * @param neighbour the neighbour
-     * @param revision its revision; zero if it has none
-     * @param digest the digest
      */
-    public void announced(HostId neighbour, Revision revision, String digest) {
-        if (!neighbours.containsKey(neighbour) && neighbours.size() >= MAX_NEIGHBOURS) {
-            return;
+    public void neighbourKnown(HostId neighbour) {
+        if (neighbours.size() < MAX_NEIGHBOURS) {
+            neighbours.computeIfAbsent(neighbour, host -> new Announcement());
         }
-        Announcement announcement = neighbours.computeIfAbsent(neighbour, host -> new Announcement());
-        if (revision.compareTo(announcement.revision) > 0) {
+    }
+
+    private void announced(HostId neighbour, Revision revision, String digest) {
+        neighbourKnown(neighbour);
+        Announcement announcement = neighbours.get(neighbour);
+        if (announcement != null && revision.compareTo(announcement.revision) > 0) {
             announcement.revision = revision;
             announcement.digest = digest;
         }
--- a/core/src/main/java/org/endivehold/error/ErrorType.java
+++ b/core/src/main/java/org/endivehold/error/ErrorType.java
@@ -50,7 +50,6 @@
     STORE_UNKNOWN(401, Severity.WARNING, "the key-value service may have taken the call: %s"),
     STORE_REFUSED(402, Severity.WARNING, "the key-value service refused the call: %s"),
     LEASE_LOST(403, Severity.WARNING, "the lease %s has expired"),
-    HOST_LIST_UNAVAILABLE(404, Severity.WARNING, "the host list cannot be read: %s"),
     STORE_HISTORY_GONE(405, Severity.INFO, "the history after revision %s is no longer kept"),
 
     // Configuration, from 500.
--- a/core/src/main/java/org/endivehold/membership/LiveHosts.java
+++ b/core/src/main/java/org/endivehold/membership/LiveHosts.java
@@ -4,11 +4,9 @@
 import java.util.List;
 import java.util.Optional;
 import org.endivehold.misc.HostId;
-import org.endivehold.misc.Revision;
 
 /**
- * The daemons that are believed to be live. A hint for speed, late and sometimes wrong: nothing that must hold may rest
- * on it.
+ * The daemons that are registered. A hint for speed, late and sometimes wrong: nothing that must hold may rest on it.
  */
 public interface LiveHosts {
     /** Name of the service. */
@@ -22,22 +20,20 @@
     Member self();
 
     /**
-     * Returns all known daemons with this one, also the suspected, leaving and dead ones that are still remembered.
+     * Returns all registered daemons with this one.
      *
      * @return the members, in order of hosts
      */
     Collection<Member> members();
 
     /**
-     * Returns the other daemons that are not believed dead.
+     * Returns the other registered daemons.
      *
      * @return the members, in order of hosts
      */
     default List<Member> others() {
         HostId own = self().host();
-        return members().stream()
-                .filter(m -> m.state() != Member.State.DEAD && !m.host().equals(own))
-                .toList();
+        return members().stream().filter(m -> !m.host().equals(own)).toList();
     }
 
     /**
@@ -51,7 +47,7 @@
     }
 
     /**
-     * Returns the number of daemons that are not believed dead, with this one.
+     * Returns the number of registered daemons, with this one.
      *
      * @return a positive number
      */
@@ -65,15 +61,4 @@
      * @param listener told of each later change
      */
     void listen(MemberListener listener);
-
-    /**
-     * Tells the others, with the next heartbeats, which configuration is in force here.
-     *
-     * @param revision number of the revision
-     * @param digest its digest
-     */
-    void announceConfiguration(Revision revision, String digest);
-
-    /** Tells the others that this daemon is about to leave. */
-    void announceLeaving();
 }
--- a/core/src/main/java/org/endivehold/membership/package-info.java
+++ b/core/src/main/java/org/endivehold/membership/package-info.java
@@ -1,5 +1,2 @@
-/**
- * Failure detection between daemons as a pure state machine, in the manner of SWIM with Lifeguard's tolerance of one's
- * own pauses.
- */
+/** Which daemons are registered. */
 package org.endivehold.membership;
--- a/daemon/src/main/java/org/endivehold/daemon/Daemon.java
+++ b/daemon/src/main/java/org/endivehold/daemon/Daemon.java
@@ -14,11 +14,10 @@
 import org.endivehold.daemon.http.CallerFront;
 import org.endivehold.daemon.kernel.Kernel;
 import org.endivehold.daemon.ledger.LedgerService;
-import org.endivehold.daemon.membership.MembershipService;
+import org.endivehold.daemon.membership.HostRegistry;
 import org.endivehold.daemon.operator.OperatorPort;
 import org.endivehold.daemon.peer.TcpPeerTransport;
 import org.endivehold.daemon.platform.EtcdStore;
-import org.endivehold.daemon.platform.HttpHostList;
 import org.endivehold.daemon.request.GenerationService;
 import org.endivehold.daemon.request.PlainCallService;
 import org.endivehold.daemon.request.TraceLog;
@@ -61,10 +60,9 @@
     private void assemble() {
         // Each service is added here; the kernel orders them by their needs.
         kernel.add(new EtcdStore(context));
-        kernel.add(new HttpHostList(context));
         kernel.add(new ConfigurationService(context));
         kernel.add(new TcpPeerTransport(context));
-        kernel.add(new MembershipService(context));
+        kernel.add(new HostRegistry(context));
         kernel.add(new ConfigurationSpread(context));
         kernel.add(new OperatorPort(context));
         kernel.add(new CapacityService(context));
--- a/daemon/src/main/java/org/endivehold/daemon/config/ConfigurationService.java
+++ b/daemon/src/main/java/org/endivehold/daemon/config/ConfigurationService.java
@@ -140,15 +140,12 @@
     }
 
     /**
-     * Takes note of what others tell about a neighbour.
+     * Takes note that a neighbour exists.
      *
      * @param neighbour the neighbour
-     * @param revision its revision
-     * @param digest its digest
      */
-    public void announced(HostId neighbour, Revision revision, String digest) {
-        state.announced(neighbour, revision, digest);
-        proceed();
+    public void neighbourKnown(HostId neighbour) {
+        state.neighbourKnown(neighbour);
     }
 
     /**
--- a/daemon/src/main/java/org/endivehold/daemon/config/ConfigurationSpread.java
+++ b/daemon/src/main/java/org/endivehold/daemon/config/ConfigurationSpread.java
@@ -19,6 +19,7 @@
 import org.endivehold.error.ErrorType;
 import org.endivehold.membership.LiveHosts;
 import org.endivehold.membership.Member;
+import org.endivehold.membership.MemberListener;
 import org.endivehold.misc.HostId;
 import org.endivehold.misc.Revision;
 import org.endivehold.wire.ConfigDelta;
@@ -26,9 +27,10 @@
 import org.endivehold.wire.Message;
 
 /**
- * Spreads configurations between daemons. Heartbeats announce what each has in force; a daemon that is behind fetches
- * the difference. Besides, each daemon asks one neighbour drawn at random every second, so that it hears of a change
- * also when a heartbeat is lost, and knows that it is not cut off. While the store is silent it asks several.
+ * Spreads configurations between daemons. Each daemon asks one neighbour drawn at random every second what it has in
+ * force, and fetches the difference if it is behind; so it hears of a change that the store did not tell, and knows
+ * that it is not cut off. While the store is silent it asks several: a change that one daemon knows reaches all others
+ * within a few rounds.
  */
 public final class ConfigurationSpread implements Service {
     /** Name of the service. */
@@ -74,8 +76,7 @@
             return Future.failedFuture(e);
         }
         configuration.fetchFromNeighbours(this::fetch);
-        configuration.listen(snapshot -> hosts.announceConfiguration(snapshot.revision(), snapshot.digest()));
-        hosts.listen(this::memberChanged);
+        hosts.listen(new NeighbourListener());
         peers.handle(ConfigFetch.class, this::answer);
         timer = context.vertx().setPeriodic(ASK_MILLIS, id -> askSome());
         return Future.succeededFuture();
@@ -87,21 +88,26 @@
         return Future.succeededFuture();
     }
 
-    private void memberChanged(Member member) {
-        if (member.host().equals(hosts.self().host())) {
-            return;
+    /** Knows the neighbours that are registered and do not leave. */
+    private final class NeighbourListener implements MemberListener {
+        @Override
+        public void changed(Member member) {
+            if (member.leaving()) {
+                configuration.neighbourGone(member.host());
+            } else {
+                configuration.neighbourKnown(member.host());
+            }
         }
-        if (member.state() == Member.State.LEAVING) {
+
+        @Override
+        public void gone(Member member) {
             configuration.neighbourGone(member.host());
-        } else if (member.state() == Member.State.ALIVE) {
-            configuration.announced(member.host(), member.revision(), member.digest());
         }
     }
 
     private void askSome() {
         configuration.retainNeighbours(
                 hosts.members().stream().map(Member::host).collect(Collectors.toSet()));
-        hosts.others().forEach(this::memberChanged);
         List<Member> others = new ArrayList<>(hosts.others());
         int count = configuration.storeSilentMillis() > STORE_SILENT_MILLIS ? ASKED_WITHOUT_STORE : 1;
         for (int i = 0; i < count && !others.isEmpty(); i++) {
@@ -112,7 +118,7 @@
     private void ask(Member member) {
         request(member.host(), configuration.current())
                 .onSuccess(delta -> {
-                    if (member.state() != Member.State.LEAVING) {
+                    if (!member.leaving()) {
                         configuration.neighbourSeen(member.host(), delta.revision(), delta.digest());
                     }
                 })
@@ -142,9 +148,7 @@
     }
 
     private Future<Message> answer(HostId sender, ConfigFetch fetch) {
-        boolean leaving = hosts.member(sender)
-                .filter(member -> member.state() == Member.State.LEAVING)
-                .isPresent();
+        boolean leaving = hosts.member(sender).filter(Member::leaving).isPresent();
         if (!leaving) {
             configuration.neighbourSeen(sender, fetch.have(), fetch.digest());
         }
--- a/daemon/src/main/java/org/endivehold/daemon/membership/package-info.java
+++ b/daemon/src/main/java/org/endivehold/daemon/membership/package-info.java
@@ -1,2 +1,2 @@
-/** The service around the membership protocol of the core. */
+/** The entries of daemons in the key-value service. */
 package org.endivehold.daemon.membership;
--- a/daemon/src/main/java/org/endivehold/daemon/operator/OperatorPort.java
+++ b/daemon/src/main/java/org/endivehold/daemon/operator/OperatorPort.java
@@ -27,13 +27,11 @@
 import org.endivehold.daemon.kernel.Service;
 import org.endivehold.daemon.peer.PeerTransport;
 import org.endivehold.daemon.platform.EtcdStore;
-import org.endivehold.daemon.platform.HttpHostList;
 import org.endivehold.error.EndiveholdException;
 import org.endivehold.error.ErrorType;
 import org.endivehold.membership.LiveHosts;
 import org.endivehold.misc.LogEvent;
 import org.endivehold.misc.RequestId;
-import org.endivehold.platform.HostList;
 import org.endivehold.platform.PlatformStore;
 import org.endivehold.wire.StatusAnswer;
 import org.endivehold.wire.StatusQuery;
@@ -75,7 +73,7 @@
 
     @Override
     public Set<String> needs() {
-        return Set.of(ActiveConfiguration.NAME, EtcdStore.NAME, HttpHostList.NAME, PeerTransport.NAME, LiveHosts.NAME);
+        return Set.of(ActiveConfiguration.NAME, EtcdStore.NAME, PeerTransport.NAME, LiveHosts.NAME);
     }
 
     @Override
@@ -109,7 +107,7 @@
         LiveHosts live = kernel.find(LiveHosts.NAME, LiveHosts.class);
         active = kernel.find(ActiveConfiguration.NAME, ConfigurationService.class);
         statuses = new StatusCollector(context, kernel);
-        fleet = new FleetCollector(peers, live, kernel.find(HttpHostList.NAME, HostList.class));
+        fleet = new FleetCollector(peers, live);
         configurations = new ConfigurationHandler(kernel.find(EtcdStore.NAME, PlatformStore.class), active);
         peers.handle(
                 StatusQuery.class,
--- a/daemon/src/main/java/org/endivehold/daemon/operator/StatusCollector.java
+++ b/daemon/src/main/java/org/endivehold/daemon/operator/StatusCollector.java
@@ -61,8 +61,7 @@
                         .put("upstream", share.upstream().value())
                         .put("usedSlots", share.usedSlots())
                         .put("freeSlots", share.freeSlots())
-                        .put("freeMemoryTokens", share.freeMemoryTokens())
-                        .put("waitingPrefillTokens", share.waitingPrefillTokens()));
+                        .put("freeMemoryTokens", share.freeMemoryTokens()));
             }
         }
         return array;
--- a/daemon/src/main/java/org/endivehold/daemon/request/EngineSelector.java
+++ b/daemon/src/main/java/org/endivehold/daemon/request/EngineSelector.java
@@ -231,7 +231,7 @@
                 share.freeSlots(),
                 share.freeMemoryTokens(),
                 share.usedSlots(),
-                Math.max(share.expectedPrefillTokens(rate), own),
+                own,
                 rate,
                 view.cached().getOrDefault(upstream.name(), 0L),
                 distanceMillis(upstream.zone()),
--- a/daemon/src/main/java/org/endivehold/daemon/settings/Settings.java
+++ b/daemon/src/main/java/org/endivehold/daemon/settings/Settings.java
@@ -16,9 +16,8 @@
  * @param operators port for operators
  * @param peers port for other daemons
  * @param store the platform's key-value service
- * @param hosts the platform's host list
  * @param limits bounds on what callers may send
- * @param membership failure detection
+ * @param membership this daemon's entry in the key-value service
  * @param capacity what this daemon may use of the upstreams
  * @param placement choice of upstreams
  * @param retry repeated attempts
@@ -33,7 +32,6 @@
         Operators operators,
         Peers peers,
         Store store,
-        Hosts hosts,
         Limits limits,
         Membership membership,
         CapacityPolicy capacity,
@@ -88,14 +86,6 @@
      */
     public record Store(List<String> endpoints, long timeoutMillis, String prefix) {}
 
-    /**
-     * The host list.
-     *
-     * @param url URL of the list
-     * @param pollMillis time between reads in milliseconds
-     */
-    public record Hosts(String url, long pollMillis) {}
-
     /**
      * Bounds on what callers may send.
      *
@@ -115,14 +105,12 @@
             int maxQueued) {}
 
     /**
-     * Failure detection.
+     * This daemon's entry in the key-value service.
      *
-     * @param periodMillis time between probes in milliseconds
-     * @param ackTimeoutMillis time for an answer to a direct probe in milliseconds
-     * @param indirectProbes daemons asked to probe on behalf of this one
-     * @param suspicionPeriods periods that a suspected daemon has to refute
+     * @param leaseMillis time to live of the entry without a renewal, in milliseconds
+     * @param renewMillis time between renewals, in milliseconds
      */
-    public record Membership(long periodMillis, long ackTimeoutMillis, int indirectProbes, int suspicionPeriods) {}
+    public record Membership(long leaseMillis, long renewMillis) {}
 
     /**
      * What this daemon may use of the upstreams.
--- a/daemon/src/main/java/org/endivehold/daemon/settings/SettingsRules.java
+++ b/daemon/src/main/java/org/endivehold/daemon/settings/SettingsRules.java
@@ -14,8 +14,8 @@
         List<SettingsFault> faults = new ArrayList<>();
         readable(faults, "/operators/tokenFile", settings.operators().tokenFile());
         settings.peers().tls().ifPresent(tls -> tlsFiles(faults, tls));
-        if (settings.membership().ackTimeoutMillis() >= settings.membership().periodMillis()) {
-            faults.add(new SettingsFault("/membership/ackTimeoutMillis", "must be below periodMillis"));
+        if (settings.membership().renewMillis() * 2 > settings.membership().leaseMillis()) {
+            faults.add(new SettingsFault("/membership/renewMillis", "must be at most half of leaseMillis"));
         }
         if (settings.limits().maxBodyBytes() > settings.limits().maxBufferedBytes()) {
             faults.add(new SettingsFault("/limits/maxBodyBytes", "must not exceed maxBufferedBytes"));
--- a/wire/src/main/java/org/endivehold/wire/MessageType.java
+++ b/wire/src/main/java/org/endivehold/wire/MessageType.java
@@ -1,13 +1,11 @@
 package org.endivehold.wire;
 
-/** Every kind of message with its number on the wire; numbers are never used again, nor are 20 to 29. */
+/** Every kind of message with its number on the wire; numbers are never used again, nor are 10 and 20 to 29. */
 public enum MessageType {
     /** {@link Hello}. */
     HELLO(1, Hello.class),
     /** {@link Failure}. */
     FAILURE(2, Failure.class),
-    /** {@link HeartbeatMessage}. */
-    HEARTBEAT(10, HeartbeatMessage.class),
     /** {@link ConfigFetch}. */
     CONFIG_FETCH(40, ConfigFetch.class),
     /** {@link ConfigDelta}. */
