Start a prompt only where it harms less than it is worth; refuse after the aim; move silent streams only to something better

Every prompt was sent at once to the least harmful engines. Long prompts beyond what the engines can read choked all of them: predictions of 0.9 s became 9.6 s, short streams were moved at 1.6 s to engines as choked, callers left, came back, and prompts of 15 engine-seconds were placed with 1.6 s left.

Ruled out: fixed engines kept for short prompts (costs long ones more than it gives short ones), a turn per engine for long reads, orders by age, length or slack (no difference once the rule holds), a queue limit by length.

Change: StartRule. A request is sent if the harm to others is at most twice what it is worth there; otherwise it waits, is refused once its aim has passed, and its caller is told when to come back. Nothing is sent that cannot end in time. A silent stream is moved only if another engine is predicted in time, and known reads of an engine that explain its silence do not count as its failure.

--- a/relay/src/main/java/org/endivehold/relay/engine/EngineBoard.java
+++ b/relay/src/main/java/org/endivehold/relay/engine/EngineBoard.java
@@ -170,6 +170,14 @@
         return load == null ? 0 : load.pendingReads();
     }
 
+    /** Returns how long the reads that lie at an engine take on average, in milliseconds. */
+    public double meanPendingReadMillis() {
+        return loads.values().stream()
+                .mapToDouble(EngineLoad::pendingReads)
+                .average()
+                .orElse(0);
+    }
+
     /** Returns the share of an engine's time that parts of divided prompts took lately. */
     double partShare(double now) {
         return partLoad.share(loads.size(), now);
--- a/relay/src/main/java/org/endivehold/relay/engine/EnginePlacement.java
+++ b/relay/src/main/java/org/endivehold/relay/engine/EnginePlacement.java
@@ -205,8 +205,8 @@
         EngineLoad load = board.load(ids.get(0));
         first += load.profile().passMillis(1, (double) division.heldTokens())
                 * chosen.get(0).engine().pace();
-        double cost = ownRisk(first) + harm + weight * PART_WEIGHT * chosen.size();
-        return new Placement(ids, held, first, cost);
+        harm += weight * PART_WEIGHT * chosen.size();
+        return new Placement(ids, held, first, harm, ownRisk(first));
     }
 
     private Option option(EngineCandidate engine, Division division, double lean) {
--- a/relay/src/main/java/org/endivehold/relay/serve/CallerServer.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/CallerServer.java
@@ -62,7 +62,8 @@
     public CallerServer(RelayContext context) {
         this.context = context;
         client = new UpstreamClient(context.vertx(), context.dialect());
-        waiting = new WaitingRoom(context.vertx(), context.random());
+        waiting = new WaitingRoom(
+                context.vertx(), context.random(), context.engines().board());
         context.engines().onRoom(waiting::room);
         server = context.vertx()
                 .createHttpServer(new HttpServerOptions()
--- a/relay/src/main/java/org/endivehold/relay/serve/Exchange.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/Exchange.java
@@ -87,6 +87,11 @@
         return context.now() - arrivedAt;
     }
 
+    /** Returns how long the caller has waited for the next event, or for the first. */
+    double waitingMillis() {
+        return firstAt < 0 ? elapsedMillis() : elapsedMillis() - eventAt;
+    }
+
     /** Returns what is left of the caller's and the route's time. */
     long remainingMillis() {
         double limit = route.timeoutMillis();
--- a/relay/src/main/java/org/endivehold/relay/serve/StreamFlow.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/StreamFlow.java
@@ -13,6 +13,7 @@
 import org.endivehold.relay.engine.EngineJob;
 import org.endivehold.relay.engine.Placement;
 import org.endivehold.relay.engine.PromptNeed;
+import org.endivehold.relay.engine.StartRule;
 import org.endivehold.relay.route.Customer;
 import org.endivehold.relay.route.RelayRoute;
 import org.endivehold.relay.route.RelayService;
@@ -30,8 +31,10 @@
     private static final double ALIVE_MILLIS = 700;
     /** Time for which an engine that was full gets nothing from this request's daemon, in milliseconds. */
     private static final double FULL_MILLIS = 150;
-    /** Part of the remaining time that a request may wait for room. */
-    private static final double WAIT_SHARE = 0.3;
+    /** Pause between looks for a better engine while an engine is silent, in milliseconds. */
+    private static final long LOOK_ELSEWHERE_MILLIS = 200;
+    /** Part of a silence that known reads have to explain, so that it does not count as a failure of the engine. */
+    private static final double EXPLAINED_SHARE = 0.5;
 
     private static final Logger log = Logger.getLogger(StreamFlow.class);
 
@@ -105,10 +108,18 @@
         }
     }
 
-    /** Tells whether this request has waited for room as long as it may. */
-    boolean waitedTooLong() {
-        double waited = exchange.elapsedMillis();
-        return waited > WAIT_SHARE * (waited + exchange.remainingMillis());
+    /** Tells whether waiting further for engines is of no use. */
+    boolean waitedEnough() {
+        return StartRule.waitedEnough(readMillis(), need());
+    }
+
+    /** Returns how much worth the request brings for each millisecond of an engine's time. */
+    double worthOfTime() {
+        return EngineJob.weight(exchange.facts().promptTokens()) / readMillis();
+    }
+
+    private double readMillis() {
+        return service.engine().orElseThrow().readMillis(exchange.facts().promptTokens(), 1);
     }
 
     /** Refuses the request, which has found no room. */
@@ -123,9 +134,10 @@
         return new PromptNeed(
                 exchange.facts().promptTokens(),
                 exchange.facts().outputTokens(),
-                route.targetMillis(),
+                exchange.begun() ? gapAim : route.targetMillis(),
                 gapAim,
-                exchange.elapsedMillis());
+                exchange.waitingMillis(),
+                (double) exchange.remainingMillis());
     }
 
     /** Sends the request if there is room; returns whether it was sent or has ended. */
@@ -135,7 +147,7 @@
         }
         PromptNeed need = need();
         Optional<Placement> found = selection.choose(need, failed);
-        if (found.isEmpty()) {
+        if (found.isEmpty() || !StartRule.starts(found.get(), need)) {
             return false;
         }
         Optional<Upstream> writer =
@@ -248,11 +260,34 @@
         if (exchange.ended() || attempt.ended() || !mayResume()) {
             return;
         }
-        exchange.note("silent:" + Math.round(context.now() - heardAt));
+        if (!betterElsewhere()) {
+            silenceTimer = context.vertx().setTimer(LOOK_ELSEWHERE_MILLIS, timer -> {
+                silenceTimer = -1;
+                silent();
+            });
+            return;
+        }
+        double silence = context.now() - heardAt;
+        double reads = context.engines().board().pendingReadMillis(job.writer());
+        exchange.note("silent:" + Math.round(silence));
         attempt.cancel();
+        if (reads < EXPLAINED_SHARE * silence) {
+            markFailed(job.writer());
+        }
         afterRun("silent");
     }
 
+    /** Tells whether another engine would produce the next event before the caller leaves. */
+    private boolean betterElsewhere() {
+        Set<String> avoided = new HashSet<>(failed);
+        avoided.add(job.writer());
+        PromptNeed need = need();
+        return selection
+                .choose(need, avoided)
+                .filter(found -> StartRule.starts(found, need))
+                .isPresent();
+    }
+
     @Override
     public void notSent(Throwable cause) {
         endAttempt();
@@ -307,7 +342,7 @@
         if (joining && id.isPresent() && lastEvent.isPresent() && id.getAsLong() != lastEvent.getAsLong() + 1) {
             exchange.note("gap");
             attempt.cancel();
-            afterRun("gap");
+            afterFailure("gap");
             return;
         }
         joining = false;
@@ -322,21 +357,21 @@
         if (answer.foreign(exchange.facts().attempt())) {
             endAttempt();
             exchange.note("foreign");
-            afterRun("foreign");
+            afterFailure("foreign");
         } else if (answer.refused()) {
             endAttempt();
             refused(answer);
         } else if (!answer.genuine(exchange.facts().attempt())) {
             endAttempt();
             exchange.note("unsigned");
-            afterRun("unsigned");
+            afterFailure("unsigned");
         } else if (!answer.success()) {
             endAttempt();
             failure(answer);
         } else if (splitter.partial() || !attemptFirst) {
             endAttempt();
             exchange.note("partial");
-            afterRun("partial");
+            afterFailure("partial");
         } else {
             endAttempt();
             exchange.complete();
@@ -362,7 +397,7 @@
         exchange.note("failed:" + answer.status());
         context.health().answeredWithFailure(job.writer(), context.now());
         if (answer.failure() && mayResume()) {
-            afterRun("failed");
+            afterFailure("failed");
             return;
         }
         if (answer.status() == 503 || answer.status() == 429 || answer.status() == 408 || exchange.begun()) {
@@ -375,13 +410,19 @@
     @Override
     public void broken(Throwable cause) {
         exchange.note("broken");
-        afterRun("broken");
+        afterFailure("broken");
+    }
+
+    /** Goes on after an attempt that may have run, at an engine that failed. */
+    private void afterFailure(String cause) {
+        markFailed(placement.engines().get(0));
+        afterRun(cause);
     }
 
     /** Goes on after an attempt that may have run. */
     private void afterRun(String cause) {
         endAttempt();
-        markFailed(placement.engines().get(0));
+        failed.add(placement.engines().get(0));
         boolean repeatable = mayResume();
         runs++;
         if (repeatable) {
@@ -418,7 +459,7 @@
         if (runs > 0 || exchange.begun()) {
             exchange.fail(502, type, 0);
         } else {
-            exchange.refuse(type, waiting.retryAfterMillis());
+            exchange.refuse(type, waiting.retryAfterMillis(need()));
         }
     }
 
--- a/relay/src/main/java/org/endivehold/relay/serve/WaitingRoom.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/WaitingRoom.java
@@ -7,33 +7,37 @@
 import java.util.List;
 import java.util.Set;
 import org.apache.commons.rng.UniformRandomProvider;
+import org.endivehold.relay.engine.EngineBoard;
+import org.endivehold.relay.engine.PromptNeed;
+import org.endivehold.relay.engine.StartRule;
 
-/**
- * Requests that wait until an engine has room.
- *
- * <p>Those with the least time left until their aim go first. Whoever has waited too long is refused, so that the
- * caller still has time to come back.
- */
+/** Requests that wait until engines suit them. Those that bring the most worth for an engine's time go first. */
 final class WaitingRoom {
     /** Pause after which waiting requests are tried again even if nothing was heard, in milliseconds. */
     private static final int RETRY_MILLIS = 25;
     /** Requests that may wait. */
     private static final int MAX_WAITING = 400;
+    /** Requests that are tried in one turn, so that a turn stays short. */
+    private static final int MAX_TRIES = 8;
     /** Least time after which a refused caller may come back, in milliseconds. */
     private static final int RETRY_AFTER_MILLIS = 400;
+    /** Further time for each request that waits, so that callers do not all come back together, in milliseconds. */
+    private static final double RETRY_AFTER_EACH_MILLIS = 20;
 
     private final Vertx vertx;
     private final UniformRandomProvider random;
+    private final EngineBoard board;
     private final Set<StreamFlow> waiting = new LinkedHashSet<>();
     private boolean scheduled;
 
-    WaitingRoom(Vertx vertx, UniformRandomProvider random) {
+    WaitingRoom(Vertx vertx, UniformRandomProvider random, EngineBoard board) {
         this.vertx = vertx;
         this.random = random;
+        this.board = board;
     }
 
     void add(StreamFlow flow) {
-        if (waiting.size() >= MAX_WAITING || flow.waitedTooLong()) {
+        if (waiting.size() >= MAX_WAITING || flow.waitedEnough()) {
             flow.refuse();
             return;
         }
@@ -52,8 +56,11 @@
         }
     }
 
-    double retryAfterMillis() {
-        return RETRY_AFTER_MILLIS + random.nextInt(RETRY_AFTER_MILLIS) + 20.0 * waiting.size();
+    /** Returns when a refused caller may come back. */
+    double retryAfterMillis(PromptNeed need) {
+        double spread = RETRY_AFTER_MILLIS + random.nextInt(RETRY_AFTER_MILLIS);
+        double comeBack = StartRule.comeBackMillis(board.meanPendingReadMillis(), need);
+        return spread + comeBack + RETRY_AFTER_EACH_MILLIS * waiting.size();
     }
 
     private void schedule(int millis) {
@@ -66,15 +73,16 @@
     private void serve() {
         scheduled = false;
         List<StreamFlow> order = new ArrayList<>(waiting);
-        order.sort(Comparator.comparingDouble(
-                f -> f.need().firstAimMillis() - f.need().elapsedMillis()));
+        order.sort(Comparator.comparingDouble(StreamFlow::worthOfTime).reversed());
+        int tries = 0;
         for (StreamFlow flow : order) {
-            if (flow.dispatch()) {
+            if (tries < MAX_TRIES && flow.dispatch()) {
                 waiting.remove(flow);
-            } else if (flow.waitedTooLong()) {
+            } else if (flow.waitedEnough()) {
                 waiting.remove(flow);
                 flow.refuse();
             }
+            tries++;
         }
         if (!waiting.isEmpty()) {
             schedule(RETRY_MILLIS);
--- a/relay/src/test/java/org/endivehold/relay/engine/EnginePlacementTest.java
+++ b/relay/src/test/java/org/endivehold/relay/engine/EnginePlacementTest.java
@@ -16,10 +16,10 @@
 class EnginePlacementTest {
     private static final EngineProfile PROFILE =
             new EngineProfile(11, 405_000, 34, 1.31, 0.0013, 0.00213, 154, 0.162, 2_048);
-    private static final PromptNeed SHORT = new PromptNeed(5_000, 1_300, 300, 250, 0);
-    private static final PromptNeed MEDIUM = new PromptNeed(45_000, 800, 1_500, 600, 0);
-    private static final PromptNeed LONG = new PromptNeed(182_000, 650, 3_000, 1_000, 0);
-    private static final PromptNeed GIANT = new PromptNeed(540_000, 650, 3_000, 1_000, 0);
+    private static final PromptNeed SHORT = new PromptNeed(5_000, 1_300, 300, 250, 0, 15_000);
+    private static final PromptNeed MEDIUM = new PromptNeed(45_000, 800, 1_500, 600, 0, 15_000);
+    private static final PromptNeed LONG = new PromptNeed(182_000, 650, 3_000, 1_000, 0, 15_000);
+    private static final PromptNeed GIANT = new PromptNeed(540_000, 650, 3_000, 1_000, 0, 15_000);
 
     private final EngineBoard board = new EngineBoard();
     private final List<EngineCandidate> engines = new ArrayList<>();
@@ -121,7 +121,7 @@
     @Test
     void aPromptBeyondAllEnginesHasNoPlace() {
         fleet(2);
-        PromptNeed need = new PromptNeed(900_000, 100, 3_000, 1_000, 0);
+        PromptNeed need = new PromptNeed(900_000, 100, 3_000, 1_000, 0, 15_000);
         assertEquals(Optional.empty(), EnginePlacement.place(board, engines, need, 0));
     }
 
--- a/relay/src/test/java/org/endivehold/relay/engine/StaleViewsTest.java
+++ b/relay/src/test/java/org/endivehold/relay/engine/StaleViewsTest.java
@@ -17,7 +17,7 @@
 class StaleViewsTest {
     private static final EngineProfile PROFILE =
             new EngineProfile(8, 405_000, 34, 1.31, 0.0013, 0.00213, 154, 0.162, 2_048);
-    private static final PromptNeed SHORT = new PromptNeed(5_000, 1_300, 309, 250, 0);
+    private static final PromptNeed SHORT = new PromptNeed(5_000, 1_300, 309, 250, 0, 15_000);
     private static final double WRITING_MILLIS = 1_700;
 
     private record Told(double at, EngineJob job) {}
--- a/relay/src/test/java/org/endivehold/relay/serve/SilenceLimitTest.java
+++ b/relay/src/test/java/org/endivehold/relay/serve/SilenceLimitTest.java
@@ -18,7 +18,7 @@
     })
     void waitsForKnownReadsButNotLongerThanTheCaller(
             double first, double gap, double predicted, double reads, double beforeFirst, double between) {
-        PromptNeed need = new PromptNeed(1_000, 100, first, gap, 0);
+        PromptNeed need = new PromptNeed(1_000, 100, first, gap, 0, 15_000);
         assertEquals(beforeFirst, SilenceLimit.beforeFirst(need, predicted, reads), 1e-9);
         assertEquals(between, SilenceLimit.betweenEvents(need, reads), 1e-9);
     }
