Split the flow of a stream: scheduler, attempt, watch for silence

No change of what is decided. A silent stream asks for other engines without waiting instead of looking at the account itself.

--- a/daemon/src/main/java/org/endivehold/daemon/entry/EntryDaemon.java
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/EntryDaemon.java
@@ -17,10 +17,11 @@
 import org.endivehold.relay.limit.UpstreamHealth;
 import org.endivehold.relay.peer.PeerMesh;
 import org.endivehold.relay.peer.PeerMessage;
+import org.endivehold.relay.schedule.EngineWork;
+import org.endivehold.relay.schedule.LocalScheduler;
 import org.endivehold.relay.serve.CallerServer;
 import org.endivehold.relay.serve.Dialect;
 import org.endivehold.relay.serve.EngineOrders;
-import org.endivehold.relay.serve.EngineWork;
 import org.endivehold.relay.serve.RelayBounds;
 import org.endivehold.relay.serve.RelayContext;
 import org.endivehold.relay.serve.RelayMetrics;
@@ -95,6 +96,7 @@
                 orders,
                 bounds,
                 engines,
+                new LocalScheduler(vertx, ticker, random, fleet, health, engines),
                 health,
                 new ColdLimit(self),
                 new RetryShare(bounds.retryRatio(), bounds.retrySlack(), bounds.retryWindowMillis()),
--- a/daemon/src/main/java/org/endivehold/daemon/entry/PeerExchange.java
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/PeerExchange.java
@@ -6,7 +6,7 @@
 import org.endivehold.relay.limit.UpstreamHealth;
 import org.endivehold.relay.peer.PeerListener;
 import org.endivehold.relay.peer.PeerMessage;
-import org.endivehold.relay.serve.EngineWork;
+import org.endivehold.relay.schedule.EngineWork;
 import org.endivehold.relay.state.SharedStore;
 import org.endivehold.relay.state.WatchedPrefix;
 
--- a/relay/src/main/java/org/endivehold/relay/engine/EngineJob.java
+++ b/relay/src/main/java/org/endivehold/relay/engine/EngineJob.java
@@ -30,6 +30,18 @@
         heldTokens = List.copyOf(heldTokens);
     }
 
+    /** Returns a request with the engines that were chosen for it. */
+    public static EngineJob of(JobId id, Placement placement, PromptNeed need) {
+        return new EngineJob(
+                id,
+                placement.engines(),
+                placement.heldTokens(),
+                need.promptTokens(),
+                need.outputTokens(),
+                need.firstAimMillis(),
+                need.gapAimMillis());
+    }
+
     /** Returns the engine that writes the answer. */
     public String writer() {
         return engines.get(0);
--- a/relay/src/main/java/org/endivehold/relay/engine/PromptNeed.java
+++ b/relay/src/main/java/org/endivehold/relay/engine/PromptNeed.java
@@ -28,6 +28,17 @@
      */
     private static final double PATIENCE_SHARE = 0.8;
 
+    /** Returns the same need some time later. */
+    public PromptNeed after(double millis) {
+        return new PromptNeed(
+                promptTokens,
+                outputTokens,
+                firstAimMillis,
+                gapAimMillis,
+                elapsedMillis + millis,
+                remainingMillis - millis);
+    }
+
     /** Returns the memory that the request needs, in tokens. */
     public long memoryTokens() {
         return promptTokens + outputTokens;
--- /dev/null
+++ b/relay/src/main/java/org/endivehold/relay/schedule/CandidateFinder.java
@@ -0,0 +1,52 @@
+package org.endivehold.relay.schedule;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.endivehold.misc.Ticker;
+import org.endivehold.relay.engine.EngineCandidate;
+import org.endivehold.relay.engine.EngineJob;
+import org.endivehold.relay.limit.UpstreamHealth;
+import org.endivehold.relay.route.EngineProfile;
+import org.endivehold.relay.state.FleetView;
+import org.endivehold.relay.state.Upstream;
+
+/** Finds the engines that may get a request, with what their health costs. */
+final class CandidateFinder {
+    /** Cost of sending a prompt to a cold engine, as a part of the request's weight. */
+    private static final double COLD_PENALTY = 0.5;
+    /** Cost of sending a prompt to an engine all of whose recent requests failed, as a part of the weight. */
+    private static final double FAILING_PENALTY = 1.5;
+
+    private final FleetView fleet;
+    private final UpstreamHealth health;
+    private final EngineWork engines;
+    private final Ticker ticker;
+
+    CandidateFinder(FleetView fleet, UpstreamHealth health, EngineWork engines, Ticker ticker) {
+        this.fleet = fleet;
+        this.health = health;
+        this.engines = engines;
+        this.ticker = ticker;
+    }
+
+    /** Returns the engines that may get a request; those that are left out for a while only if there is no other. */
+    List<EngineCandidate> candidates(EngineRequest request, EngineProfile profile) {
+        double now = ticker.millis();
+        double weight = EngineJob.weight(request.need().promptTokens());
+        List<EngineCandidate> usable = new ArrayList<>();
+        List<EngineCandidate> ejected = new ArrayList<>();
+        for (Upstream upstream : fleet.upstreams(request.service())) {
+            String id = upstream.id();
+            boolean cold = upstream.cold(now);
+            if (request.avoided().contains(id)
+                    || (cold && !request.coldAllowed().contains(id))) {
+                continue;
+            }
+            engines.board().engine(id, profile);
+            double penalty = weight * (FAILING_PENALTY * health.failing(id, now) + (cold ? COLD_PENALTY : 0));
+            EngineCandidate candidate = new EngineCandidate(id, health.pace(id, now), penalty, engines.preference(id));
+            (health.ejected(id, now) ? ejected : usable).add(candidate);
+        }
+        return usable.isEmpty() ? ejected : usable;
+    }
+}
--- a/relay/src/main/java/org/endivehold/relay/serve/EngineWork.java
+++ b/relay/src/main/java/org/endivehold/relay/schedule/EngineWork.java
@@ -1,21 +1,16 @@
-package org.endivehold.relay.serve;
+package org.endivehold.relay.schedule;
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import java.util.function.Consumer;
 import org.endivehold.misc.Rendezvous;
 import org.endivehold.misc.Ticker;
 import org.endivehold.relay.engine.EngineBoard;
-import org.endivehold.relay.engine.EngineCandidate;
 import org.endivehold.relay.engine.EngineJob;
-import org.endivehold.relay.engine.EnginePlacement;
 import org.endivehold.relay.engine.JobId;
-import org.endivehold.relay.engine.Placement;
-import org.endivehold.relay.engine.PromptNeed;
 import org.endivehold.relay.peer.PeerMessage;
 
-/** Work at engines: places requests, keeps account of them, tells other daemons and hears of theirs. */
+/** Work at engines: keeps account of requests, tells other daemons of own ones and hears of theirs. */
 public final class EngineWork {
     /** How long other daemons leave out an engine that failed here, in milliseconds: their own look may differ. */
     private static final int FAILED_OUT_MILLIS = 500;
@@ -58,38 +53,33 @@
         return (hash >>> 1) / (double) Integer.MAX_VALUE;
     }
 
-    Optional<Placement> place(List<EngineCandidate> candidates, PromptNeed need) {
-        return EnginePlacement.place(board, candidates, need, (double) ticker.millis());
+    /** Returns a name for the next request of this daemon. */
+    public JobId nextId() {
+        return new JobId(self, next++);
     }
 
-    EngineJob begin(Placement placement, PromptNeed need, double pace) {
-        EngineJob job = new EngineJob(
-                new JobId(self, next++),
-                placement.engines(),
-                placement.heldTokens(),
-                need.promptTokens(),
-                need.outputTokens(),
-                need.firstAimMillis(),
-                need.gapAimMillis());
-        board.add(job, (double) ticker.millis(), pace);
+    /** Notes that a request was sent to its engines. */
+    public void begin(EngineJob job) {
+        board.add(job, (double) ticker.millis(), 1);
         peers.accept(new PeerMessage.JobPlaced(job, false));
-        return job;
     }
 
-    void firstToken(EngineJob job) {
+    /** Notes that a request produced its first event. */
+    public void firstToken(EngineJob job) {
         board.firstToken(job.id());
         peers.accept(new PeerMessage.JobWriting(job.id()));
         listeners.forEach(Runnable::run);
     }
 
-    void end(EngineJob job) {
+    /** Notes that a request is at no engine any more. */
+    public void end(EngineJob job) {
         board.remove(job.id());
         peers.accept(new PeerMessage.JobEnded(job.id()));
         listeners.forEach(Runnable::run);
     }
 
     /** Tells other daemons that an engine failed, so that not each of them has to find out with a request. */
-    void tellFailed(String engine) {
+    public void tellFailed(String engine) {
         peers.accept(new PeerMessage.UpstreamFailed(engine, FAILED_OUT_MILLIS));
     }
 
--- a/relay/src/main/java/org/endivehold/relay/serve/CallerServer.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/CallerServer.java
@@ -53,7 +53,6 @@
     private final HttpServer server;
     private final UpstreamClient client;
     private final PlainLoads plainLoads = new PlainLoads();
-    private final WaitingRoom waiting;
     private final Map<HttpConnection, Integer> connections = new HashMap<>();
     private int active;
     private double stoppingAt = Double.POSITIVE_INFINITY;
@@ -62,9 +61,6 @@
     public CallerServer(RelayContext context) {
         this.context = context;
         client = new UpstreamClient(context.vertx(), context.dialect());
-        waiting = new WaitingRoom(
-                context.vertx(), context.random(), context.engines().board());
-        context.engines().onRoom(waiting::room);
         server = context.vertx()
                 .createHttpServer(new HttpServerOptions()
                         .setTcpNoDelay(true)
@@ -211,7 +207,7 @@
         boolean generation = exchange.route().kind() == RequestKind.STREAM
                 && service.engine().isPresent();
         return generation
-                ? new StreamFlow(context, exchange, client, outgoing, service, waiting)
+                ? new StreamFlow(context, exchange, client, outgoing, service)
                 : new PlainFlow(context, exchange, plainLoads, client, outgoing, service);
     }
 }
--- a/relay/src/test/java/org/endivehold/relay/serve/RelayFixture.java
+++ b/relay/src/test/java/org/endivehold/relay/serve/RelayFixture.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
+import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.endivehold.misc.Ticker;
 import org.endivehold.relay.limit.ColdLimit;
@@ -26,6 +27,8 @@
 import org.endivehold.relay.route.RoutingTable;
 import org.endivehold.relay.route.ServiceShare;
 import org.endivehold.relay.route.UpstreamEntry;
+import org.endivehold.relay.schedule.EngineWork;
+import org.endivehold.relay.schedule.LocalScheduler;
 import org.endivehold.relay.state.FleetView;
 import org.endivehold.relay.state.Upstream;
 
@@ -83,16 +86,20 @@
             }
         };
         RelayBounds bounds = new RelayBounds(4_000, 1, 1, 1, 100, 10_000);
+        UniformRandomProvider random = RandomSource.SPLIT_MIX_64.create(1);
+        EngineWork work = new EngineWork(ticker, "d", message -> {});
+        UpstreamHealth health = new UpstreamHealth();
         server = new CallerServer(new RelayContext(
                 vertx,
                 ticker,
-                RandomSource.SPLIT_MIX_64.create(1),
+                random,
                 this,
                 new PlainDialect(),
                 noOrders,
                 bounds,
-                new EngineWork(ticker, "d", message -> {}),
-                new UpstreamHealth(),
+                work,
+                new LocalScheduler(vertx, ticker, random, this, health, work),
+                health,
                 new ColdLimit("d"),
                 new RetryShare(1, 100, 10_000),
                 alone,
