Let few daemons keep the account of a large fleet, and have one of them choose engines

Cause: with 60 daemons each heard of all others over 60 x 59 connections, about 92,000 frames a second in all.

Change: up to 9 daemons everybody tells everybody, as before. Above, three daemons keep the account: the strongest, of different availability zones, found by each daemon from the list that daemons register in the store and pass on. All others ask the first that answers within 60 ms, then the next, then decide themselves.

--- a/daemon/src/main/java/org/endivehold/daemon/entry/EntryDaemon.java
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/EntryDaemon.java
@@ -15,10 +15,13 @@
 import org.endivehold.relay.limit.ColdLimit;
 import org.endivehold.relay.limit.RetryShare;
 import org.endivehold.relay.limit.UpstreamHealth;
+import org.endivehold.relay.peer.DaemonDirectory;
+import org.endivehold.relay.peer.DaemonEntry;
 import org.endivehold.relay.peer.PeerMesh;
 import org.endivehold.relay.peer.PeerMessage;
 import org.endivehold.relay.schedule.EngineWork;
 import org.endivehold.relay.schedule.LocalScheduler;
+import org.endivehold.relay.schedule.SharedScheduler;
 import org.endivehold.relay.serve.CallerServer;
 import org.endivehold.relay.serve.Dialect;
 import org.endivehold.relay.serve.EngineOrders;
@@ -80,11 +83,15 @@
         fleet = new FleetState(decoder, ticker, this::sinceOutageMillis);
         operators = new WatchedPrefix(vertx, store, decoder.operatorPrefix(), ticker, random, fleet);
         upstreams = new WatchedPrefix(vertx, store, decoder.upstreamPrefix(), ticker, random, fleet);
-        PeerMessage.Hello hello = new PeerMessage.Hello(
-                self, settings.peers().host(), settings.peers().port());
+        DaemonEntry entry = new DaemonEntry(
+                self, settings.peers().host(), settings.peers().port(), settings.zone(), settings.capacity());
         engines = new EngineWork(ticker, self, this::tell);
-        mesh = new PeerMesh(vertx, ticker, hello, new PeerExchange(engines, health, ticker, operators, upstreams));
-        registration = new Registration(vertx, store, decoder.daemonPrefix(), self, settings, mesh);
+        PeerExchange exchange = new PeerExchange(engines, health, ticker, operators, upstreams);
+        mesh = new PeerMesh(vertx, ticker, new DaemonDirectory(entry), exchange);
+        LocalScheduler local = new LocalScheduler(vertx, ticker, random, fleet, health, engines);
+        SharedScheduler scheduler = new SharedScheduler(vertx, ticker, self, local, engines, mesh);
+        exchange.scheduler(scheduler);
+        registration = new Registration(vertx, store, decoder.daemonPrefix(), entry, settings, mesh);
         PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
         RelayBounds bounds = settings.bounds();
         callers = new CallerServer(new RelayContext(
@@ -96,11 +103,11 @@
                 orders,
                 bounds,
                 engines,
-                new LocalScheduler(vertx, ticker, random, fleet, health, engines),
+                scheduler,
                 health,
                 new ColdLimit(self),
                 new RetryShare(bounds.retryRatio(), bounds.retrySlack(), bounds.retryWindowMillis()),
-                new MeshCount(mesh),
+                new MeshCount(mesh.directory()),
                 new RelayMetrics(registry)));
         status = new StatusServer(vertx, settings, dialect.readinessPath(), registry, fleet::complete);
     }
@@ -139,7 +146,7 @@
     private void watch() {
         operators.start();
         upstreams.start();
-        settings.seeds().forEach(mesh::connect);
+        settings.seeds().forEach(mesh::seed);
         registration.start();
         vertx.setPeriodic(TICK_MILLIS, timer -> tick());
     }
@@ -148,7 +155,7 @@
     public void reload(RelaySettings changed) {
         vertx.runOnContext(ignored -> {
             LogEvent.of("settings-reloaded").with("seeds", changed.seeds()).info(log);
-            changed.seeds().forEach(mesh::connect);
+            changed.seeds().forEach(mesh::seed);
         });
     }
 
--- a/daemon/src/main/java/org/endivehold/daemon/entry/MeshCount.java
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/MeshCount.java
@@ -1,25 +1,25 @@
 package org.endivehold.daemon.entry;
 
 import java.util.Collection;
-import org.endivehold.relay.peer.PeerMesh;
+import org.endivehold.relay.peer.DaemonDirectory;
 import org.endivehold.relay.serve.DaemonCount;
 
-/** Counts the daemons that this one is or was connected to, and some more. */
+/** Counts the daemons that this one knows of, and some more. */
 final class MeshCount implements DaemonCount {
     /** Daemons that may have started without this one having heard of them. */
     private static final int LEAST_SPARE = 2;
     /** Further such daemons as a part of the known ones. */
     private static final double SPARE_SHARE = 0.1;
 
-    private final PeerMesh mesh;
+    private final DaemonDirectory directory;
 
-    MeshCount(PeerMesh mesh) {
-        this.mesh = mesh;
+    MeshCount(DaemonDirectory directory) {
+        this.directory = directory;
     }
 
     @Override
     public Collection<String> names() {
-        return mesh.daemons();
+        return directory.names();
     }
 
     @Override
--- a/daemon/src/main/java/org/endivehold/daemon/entry/Registration.java
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/Registration.java
@@ -5,11 +5,12 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.json.DecodeException;
 import io.vertx.core.json.JsonObject;
-import io.vertx.core.net.SocketAddress;
+import java.util.Optional;
 import org.endivehold.error.EndiveholdException;
 import org.endivehold.error.ErrorType;
 import org.endivehold.misc.LogEvent;
 import org.endivehold.relay.RelaySettings;
+import org.endivehold.relay.peer.DaemonEntry;
 import org.endivehold.relay.peer.PeerMesh;
 import org.endivehold.relay.state.SharedStore;
 import org.jboss.logging.Logger;
@@ -27,19 +28,22 @@
 
     private static final String HOST = "host";
     private static final String PORT = "port";
+    private static final String ZONE = "zone";
+    private static final String CAPACITY = "capacity";
 
     private static final Logger log = Logger.getLogger(Registration.class);
 
     private final Vertx vertx;
     private final SharedStore store;
     private final String prefix;
-    private final String self;
+    private final DaemonEntry self;
     private final RelaySettings settings;
     private final PeerMesh mesh;
     private long lease;
     private boolean ended;
 
-    Registration(Vertx vertx, SharedStore store, String prefix, String self, RelaySettings settings, PeerMesh mesh) {
+    Registration(
+            Vertx vertx, SharedStore store, String prefix, DaemonEntry self, RelaySettings settings, PeerMesh mesh) {
         this.vertx = vertx;
         this.store = store;
         this.prefix = prefix;
@@ -64,11 +68,14 @@
         }
         int ttl = Math.max(LEASE_MILLIS, settings.leastLeaseMillis());
         Buffer value = new JsonObject()
-                .put(HOST, settings.peers().host())
-                .put(PORT, settings.peers().port())
+                .put(HOST, self.host())
+                .put(PORT, self.port())
+                .put(ZONE, self.zone())
+                .put(CAPACITY, self.capacity())
                 .toBuffer();
         store.lease(ttl)
-                .compose(granted -> store.put(prefix + self, value, granted).map(granted))
+                .compose(granted ->
+                        store.put(prefix + self.name(), value, granted).map(granted))
                 .onSuccess(granted -> {
                     lease = granted;
                     LogEvent.of("daemon-registered").with("lease", lease).info(log);
@@ -104,26 +111,30 @@
 
     private void look() {
         store.range(prefix)
-                .onSuccess(range -> range.items().forEach(this::found))
+                .onSuccess(range -> mesh.found(range.items().stream()
+                        .map(this::daemon)
+                        .flatMap(Optional::stream)
+                        .toList()))
                 .onFailure(failure -> LogEvent.of("daemons-not-listed")
                         .with("reason", failure.getMessage())
                         .warn(log));
     }
 
-    private void found(SharedStore.Item item) {
-        String daemon = item.key().substring(prefix.length());
-        if (daemon.equals(self)) {
-            return;
-        }
+    private Optional<DaemonEntry> daemon(SharedStore.Item item) {
         try {
             JsonObject entry = new JsonObject(item.value());
-            mesh.remember(daemon);
-            mesh.connect(SocketAddress.inetSocketAddress(entry.getInteger(PORT), entry.getString(HOST)));
+            return Optional.of(new DaemonEntry(
+                    item.key().substring(prefix.length()),
+                    entry.getString(HOST),
+                    entry.getInteger(PORT),
+                    entry.getString(ZONE),
+                    entry.getDouble(CAPACITY)));
         } catch (DecodeException | ClassCastException | NullPointerException e) {
             LogEvent.of("daemon-unreadable")
                     .with("key", item.key())
                     .with("reason", e.getMessage())
                     .warn(log);
+            return Optional.empty();
         }
     }
 }
--- a/daemon/src/main/java/org/endivehold/daemon/entry/WarmUp.java
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/WarmUp.java
@@ -39,6 +39,7 @@
         RelaySettings settings = new RelaySettings(
                 "warm-up",
                 "zone",
+                1,
                 anywhere,
                 anywhere,
                 anywhere,
--- a/relay/src/main/java/org/endivehold/relay/RelaySettings.java
+++ b/relay/src/main/java/org/endivehold/relay/RelaySettings.java
@@ -9,6 +9,7 @@
  *
  * @param name its name
  * @param zone its availability zone
+ * @param capacity processor cores that it may use
  * @param callers where it listens for callers
  * @param readiness where it tells whether it is ready
  * @param peers where it listens for other daemons
@@ -21,6 +22,7 @@
 public record RelaySettings(
         String name,
         String zone,
+        double capacity,
         SocketAddress callers,
         SocketAddress readiness,
         SocketAddress peers,
--- a/relay/src/main/java/org/endivehold/relay/engine/EngineBoard.java
+++ b/relay/src/main/java/org/endivehold/relay/engine/EngineBoard.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.endivehold.relay.route.EngineProfile;
 
 /**
@@ -152,6 +153,16 @@
                 .toList();
     }
 
+    /** Returns the engine that writes the answer of a request; empty if it is not known. */
+    public Optional<String> writer(JobId id) {
+        return Optional.ofNullable(jobs.get(id)).map(entry -> entry.job.writer());
+    }
+
+    /** Tells whether a request is at engines. */
+    public boolean knows(JobId id) {
+        return jobs.containsKey(id);
+    }
+
     /** Tells whether a request has produced its first token. */
     public boolean writing(JobId id) {
         Entry entry = jobs.get(id);
--- a/relay/src/main/java/org/endivehold/relay/peer/PeerCodec.java
+++ b/relay/src/main/java/org/endivehold/relay/peer/PeerCodec.java
@@ -7,11 +7,10 @@
 import org.endivehold.error.EndiveholdException;
 import org.endivehold.error.ErrorType;
 import org.endivehold.relay.engine.EngineJob;
-import org.endivehold.relay.engine.JobId;
-import org.endivehold.relay.state.SharedStore;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
 
 /** Encodes messages between daemons as MessagePack behind a length of four bytes. */
@@ -26,10 +25,16 @@
     private static final int WRITING = 3;
     private static final int ENDED = 4;
     private static final int FAILED = 5;
-    private static final int WANTED = 6;
+    private static final int COPY_WANTED = 6;
     private static final int COPY = 7;
     private static final int PING = 8;
     private static final int BYE = 9;
+    private static final int MEMBERS = 10;
+    private static final int ENGINES_WANTED = 11;
+    private static final int ENGINES_AWAITED = 12;
+    private static final int ENGINES_CHOSEN = 13;
+    private static final int ENGINES_REFUSED = 14;
+    private static final int SEEN = 15;
 
     private PeerCodec() {}
 
@@ -49,55 +54,49 @@
         }
     }
 
-    private static void pack(MessageBufferPacker packer, PeerMessage message) throws IOException {
+    private static void pack(MessagePacker packer, PeerMessage message) throws IOException {
         if (message instanceof PeerMessage.Hello hello) {
-            packer.packInt(HELLO).packString(hello.daemon());
-            packer.packString(hello.host()).packInt(hello.port());
-        } else if (message instanceof PeerMessage.JobPlaced placed) {
-            packer.packInt(PLACED);
-            packJob(packer, placed.job());
-            packer.packBoolean(placed.writing());
-        } else if (message instanceof PeerMessage.JobWriting writing) {
-            packer.packInt(WRITING);
-            packId(packer, writing.id());
-        } else if (message instanceof PeerMessage.JobEnded ended) {
-            packer.packInt(ENDED);
-            packId(packer, ended.id());
+            PeerFields.pack(packer.packInt(HELLO), hello.daemon());
+        } else if (message instanceof PeerMessage.Members members) {
+            PeerFields.pack(packer.packInt(MEMBERS), members);
+        } else if (message instanceof PeerMessage.Copy copy) {
+            PeerFields.pack(packer.packInt(COPY), copy);
+        } else if (message instanceof PeerMessage.CopyWanted wanted) {
+            packer.packInt(COPY_WANTED).packString(wanted.prefix()).packLong(wanted.revision());
         } else if (message instanceof PeerMessage.UpstreamFailed failed) {
             packer.packInt(FAILED).packString(failed.upstream()).packInt(failed.outMillis());
-        } else if (message instanceof PeerMessage.CopyWanted wanted) {
-            packer.packInt(WANTED).packString(wanted.prefix()).packLong(wanted.revision());
-        } else if (message instanceof PeerMessage.Copy copy) {
-            packer.packInt(COPY);
-            packCopy(packer, copy);
+        } else if (message instanceof PeerMessage.UpstreamSeen seen) {
+            packer.packInt(SEEN).packString(seen.upstream());
+            packer.packBoolean(seen.failed()).packDouble(seen.pace());
         } else if (message instanceof PeerMessage.Bye) {
             packer.packInt(BYE);
-        } else {
+        } else if (message instanceof PeerMessage.Ping) {
             packer.packInt(PING);
+        } else {
+            packWork(packer, message);
         }
     }
 
-    private static void packId(MessageBufferPacker packer, JobId id) throws IOException {
-        packer.packString(id.daemon()).packLong(id.number());
-    }
-
-    private static void packJob(MessageBufferPacker packer, EngineJob job) throws IOException {
-        packId(packer, job.id());
-        packer.packArrayHeader(job.engines().size());
-        for (String engine : job.engines()) {
-            packer.packString(engine).packLong(job.heldAt(engine));
-        }
-        packer.packLong(job.promptTokens()).packLong(job.outputTokens());
-        packer.packDouble(job.firstAimMillis()).packDouble(job.gapAimMillis());
-    }
-
-    private static void packCopy(MessageBufferPacker packer, PeerMessage.Copy copy) throws IOException {
-        packer.packString(copy.prefix()).packLong(copy.revision());
-        packer.packArrayHeader(copy.items().size());
-        for (SharedStore.Item item : copy.items()) {
-            packer.packString(item.key()).packLong(item.revision());
-            byte[] value = item.value().getBytes();
-            packer.packBinaryHeader(value.length).writePayload(value);
+    private static void packWork(MessagePacker packer, PeerMessage message) throws IOException {
+        if (message instanceof PeerMessage.JobPlaced placed) {
+            PeerFields.pack(packer.packInt(PLACED), placed.job());
+            packer.packBoolean(placed.writing());
+        } else if (message instanceof PeerMessage.JobWriting writing) {
+            PeerFields.pack(packer.packInt(WRITING), writing.id());
+        } else if (message instanceof PeerMessage.JobEnded ended) {
+            PeerFields.pack(packer.packInt(ENDED), ended.id());
+        } else if (message instanceof PeerMessage.EnginesWanted wanted) {
+            PeerFields.pack(packer.packInt(ENGINES_WANTED), wanted.request());
+        } else if (message instanceof PeerMessage.EnginesAwaited awaited) {
+            PeerFields.pack(packer.packInt(ENGINES_AWAITED), awaited.id());
+        } else if (message instanceof PeerMessage.EnginesChosen chosen) {
+            PeerFields.pack(packer.packInt(ENGINES_CHOSEN), chosen.job());
+            PeerFields.pack(packer, chosen.placement());
+        } else if (message instanceof PeerMessage.EnginesRefused refused) {
+            PeerFields.pack(packer.packInt(ENGINES_REFUSED), refused.id());
+            packer.packDouble(refused.retryAfterMillis());
+        } else {
+            throw new IllegalArgumentException("no encoding of " + message);
         }
     }
 
@@ -122,53 +121,35 @@
     private static PeerMessage unpack(MessageUnpacker unpacker) throws IOException, EndiveholdException {
         int type = unpacker.unpackInt();
         return switch (type) {
-            case HELLO -> new PeerMessage.Hello(unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackInt());
-            case PLACED -> new PeerMessage.JobPlaced(unpackJob(unpacker), unpacker.unpackBoolean());
-            case WRITING -> new PeerMessage.JobWriting(unpackId(unpacker));
-            case ENDED -> new PeerMessage.JobEnded(unpackId(unpacker));
+            case HELLO -> new PeerMessage.Hello(PeerFields.daemon(unpacker));
+            case MEMBERS -> PeerFields.members(unpacker);
+            case COPY -> PeerFields.copy(unpacker);
+            case COPY_WANTED -> new PeerMessage.CopyWanted(unpacker.unpackString(), unpacker.unpackLong());
             case FAILED -> new PeerMessage.UpstreamFailed(unpacker.unpackString(), unpacker.unpackInt());
-            case WANTED -> new PeerMessage.CopyWanted(unpacker.unpackString(), unpacker.unpackLong());
-            case COPY -> unpackCopy(unpacker);
+            case SEEN ->
+                new PeerMessage.UpstreamSeen(
+                        unpacker.unpackString(), unpacker.unpackBoolean(), unpacker.unpackDouble());
             case PING -> new PeerMessage.Ping();
             case BYE -> new PeerMessage.Bye();
-            default -> throw new EndiveholdException(ErrorType.PEER_PROTOCOL, "?", "message type " + type);
+            default -> unpackWork(type, unpacker);
         };
     }
 
-    private static JobId unpackId(MessageUnpacker unpacker) throws IOException {
-        return new JobId(unpacker.unpackString(), unpacker.unpackLong());
-    }
-
-    private static EngineJob unpackJob(MessageUnpacker unpacker) throws IOException {
-        JobId id = unpackId(unpacker);
-        int count = unpacker.unpackArrayHeader();
-        List<String> engines = new ArrayList<>();
-        List<Long> held = new ArrayList<>();
-        for (int i = 0; i < count; i++) {
-            engines.add(unpacker.unpackString());
-            held.add(unpacker.unpackLong());
-        }
-        return new EngineJob(
-                id,
-                engines,
-                held,
-                unpacker.unpackLong(),
-                unpacker.unpackLong(),
-                unpacker.unpackDouble(),
-                unpacker.unpackDouble());
+    private static PeerMessage unpackWork(int type, MessageUnpacker unpacker) throws IOException, EndiveholdException {
+        return switch (type) {
+            case PLACED -> new PeerMessage.JobPlaced(PeerFields.job(unpacker), unpacker.unpackBoolean());
+            case WRITING -> new PeerMessage.JobWriting(PeerFields.id(unpacker));
+            case ENDED -> new PeerMessage.JobEnded(PeerFields.id(unpacker));
+            case ENGINES_WANTED -> new PeerMessage.EnginesWanted(PeerFields.request(unpacker));
+            case ENGINES_AWAITED -> new PeerMessage.EnginesAwaited(PeerFields.id(unpacker));
+            case ENGINES_CHOSEN -> chosen(unpacker);
+            case ENGINES_REFUSED -> new PeerMessage.EnginesRefused(PeerFields.id(unpacker), unpacker.unpackDouble());
+            default -> throw new EndiveholdException(ErrorType.PEER_PROTOCOL, "?", "message type " + type);
+        };
     }
 
-    private static PeerMessage unpackCopy(MessageUnpacker unpacker) throws IOException {
-        String prefix = unpacker.unpackString();
-        long revision = unpacker.unpackLong();
-        int count = unpacker.unpackArrayHeader();
-        List<SharedStore.Item> items = new ArrayList<>();
-        for (int i = 0; i < count; i++) {
-            String key = unpacker.unpackString();
-            long itemRevision = unpacker.unpackLong();
-            byte[] value = unpacker.readPayload(unpacker.unpackBinaryHeader());
-            items.add(new SharedStore.Item(key, Buffer.buffer(value), itemRevision));
-        }
-        return new PeerMessage.Copy(prefix, revision, items);
+    private static PeerMessage chosen(MessageUnpacker unpacker) throws IOException {
+        EngineJob job = PeerFields.job(unpacker);
+        return new PeerMessage.EnginesChosen(job, PeerFields.placement(unpacker, job));
     }
 }
--- /dev/null
+++ b/relay/src/main/java/org/endivehold/relay/peer/PeerFields.java
@@ -0,0 +1,169 @@
+package org.endivehold.relay.peer;
+
+import io.vertx.core.buffer.Buffer;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.endivehold.relay.engine.EngineJob;
+import org.endivehold.relay.engine.JobId;
+import org.endivehold.relay.engine.Placement;
+import org.endivehold.relay.engine.PromptNeed;
+import org.endivehold.relay.schedule.EngineRequest;
+import org.endivehold.relay.state.SharedStore;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/** Fields of messages between daemons as MessagePack; what one method packs, its neighbour unpacks. */
+final class PeerFields {
+    private PeerFields() {}
+
+    static void pack(MessagePacker packer, DaemonEntry entry) throws IOException {
+        packer.packString(entry.name()).packString(entry.host()).packInt(entry.port());
+        packer.packString(entry.zone()).packDouble(entry.capacity());
+    }
+
+    static DaemonEntry daemon(MessageUnpacker unpacker) throws IOException {
+        return new DaemonEntry(
+                unpacker.unpackString(),
+                unpacker.unpackString(),
+                unpacker.unpackInt(),
+                unpacker.unpackString(),
+                unpacker.unpackDouble());
+    }
+
+    static void pack(MessagePacker packer, PeerMessage.Members list) throws IOException {
+        packer.packArrayHeader(list.members().size());
+        for (PeerMessage.Member member : list.members()) {
+            pack(packer, member.daemon());
+            packer.packLong(member.ageMillis());
+        }
+    }
+
+    static PeerMessage.Members members(MessageUnpacker unpacker) throws IOException {
+        int count = unpacker.unpackArrayHeader();
+        List<PeerMessage.Member> members = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            members.add(new PeerMessage.Member(daemon(unpacker), unpacker.unpackLong()));
+        }
+        return new PeerMessage.Members(members);
+    }
+
+    static void pack(MessagePacker packer, JobId id) throws IOException {
+        packer.packString(id.daemon()).packLong(id.number());
+    }
+
+    static JobId id(MessageUnpacker unpacker) throws IOException {
+        return new JobId(unpacker.unpackString(), unpacker.unpackLong());
+    }
+
+    static void pack(MessagePacker packer, EngineJob job) throws IOException {
+        pack(packer, job.id());
+        packer.packArrayHeader(job.engines().size());
+        for (String engine : job.engines()) {
+            packer.packString(engine).packLong(job.heldAt(engine));
+        }
+        packer.packLong(job.promptTokens()).packLong(job.outputTokens());
+        packer.packDouble(job.firstAimMillis()).packDouble(job.gapAimMillis());
+    }
+
+    static EngineJob job(MessageUnpacker unpacker) throws IOException {
+        JobId id = id(unpacker);
+        int count = unpacker.unpackArrayHeader();
+        List<String> engines = new ArrayList<>();
+        List<Long> held = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            engines.add(unpacker.unpackString());
+            held.add(unpacker.unpackLong());
+        }
+        return new EngineJob(
+                id,
+                engines,
+                held,
+                unpacker.unpackLong(),
+                unpacker.unpackLong(),
+                unpacker.unpackDouble(),
+                unpacker.unpackDouble());
+    }
+
+    static void pack(MessagePacker packer, EngineRequest request) throws IOException {
+        pack(packer, request.id());
+        packer.packString(request.service());
+        PromptNeed need = request.need();
+        packer.packLong(need.promptTokens()).packLong(need.outputTokens());
+        packer.packDouble(need.firstAimMillis()).packDouble(need.gapAimMillis());
+        packer.packDouble(need.elapsedMillis()).packDouble(need.remainingMillis());
+        pack(packer, request.avoided());
+        pack(packer, request.coldAllowed());
+        packer.packBoolean(request.waits());
+    }
+
+    static EngineRequest request(MessageUnpacker unpacker) throws IOException {
+        JobId id = id(unpacker);
+        String service = unpacker.unpackString();
+        PromptNeed need = new PromptNeed(
+                unpacker.unpackLong(),
+                unpacker.unpackLong(),
+                unpacker.unpackDouble(),
+                unpacker.unpackDouble(),
+                unpacker.unpackDouble(),
+                unpacker.unpackDouble());
+        return new EngineRequest(id, service, need, names(unpacker), names(unpacker), unpacker.unpackBoolean());
+    }
+
+    private static void pack(MessagePacker packer, Collection<String> names) throws IOException {
+        packer.packArrayHeader(names.size());
+        for (String name : names) {
+            packer.packString(name);
+        }
+    }
+
+    private static Set<String> names(MessageUnpacker unpacker) throws IOException {
+        int count = unpacker.unpackArrayHeader();
+        Set<String> names = new HashSet<>();
+        for (int i = 0; i < count; i++) {
+            names.add(unpacker.unpackString());
+        }
+        return names;
+    }
+
+    /** Packs what a placement says beside the engines, which stand in its job. */
+    static void pack(MessagePacker packer, Placement placement) throws IOException {
+        packer.packDouble(placement.firstMillis()).packDouble(placement.harm()).packDouble(placement.risk());
+    }
+
+    static Placement placement(MessageUnpacker unpacker, EngineJob job) throws IOException {
+        return new Placement(
+                job.engines(),
+                job.heldTokens(),
+                unpacker.unpackDouble(),
+                unpacker.unpackDouble(),
+                unpacker.unpackDouble());
+    }
+
+    static void pack(MessagePacker packer, PeerMessage.Copy copy) throws IOException {
+        packer.packString(copy.prefix()).packLong(copy.revision());
+        packer.packArrayHeader(copy.items().size());
+        for (SharedStore.Item item : copy.items()) {
+            packer.packString(item.key()).packLong(item.revision());
+            byte[] value = item.value().getBytes();
+            packer.packBinaryHeader(value.length).writePayload(value);
+        }
+    }
+
+    static PeerMessage.Copy copy(MessageUnpacker unpacker) throws IOException {
+        String prefix = unpacker.unpackString();
+        long revision = unpacker.unpackLong();
+        int count = unpacker.unpackArrayHeader();
+        List<SharedStore.Item> items = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            String key = unpacker.unpackString();
+            long itemRevision = unpacker.unpackLong();
+            byte[] value = unpacker.readPayload(unpacker.unpackBinaryHeader());
+            items.add(new SharedStore.Item(key, Buffer.buffer(value), itemRevision));
+        }
+        return new PeerMessage.Copy(prefix, revision, items);
+    }
+}
--- a/relay/src/main/java/org/endivehold/relay/peer/PeerLink.java
+++ b/relay/src/main/java/org/endivehold/relay/peer/PeerLink.java
@@ -7,8 +7,6 @@
 
 /** The connection that this daemon opens to one other. */
 final class PeerLink {
-    /** Failed tries in a row after which an address is forgotten; its daemon connects again if it lives. */
-    static final int MAX_FAILURES = 12;
     /** First pause after a failed try, in milliseconds. */
     private static final int FIRST_PAUSE_MILLIS = 200;
     /** Longest pause after failed tries, in milliseconds. */
@@ -17,8 +15,14 @@
     private static final int MAX_WAITING_BYTES = 1 << 20;
 
     final SocketAddress address;
+    /** Name of the daemon at the other end; empty until it has said so. */
+    String daemon = "";
+
     NetSocket socket;
     long heardAt;
+    /** Time until which this daemon is not asked, since it did not answer in time. */
+    long suspectUntil;
+
     int failures;
     boolean opening;
 
--- a/relay/src/main/java/org/endivehold/relay/peer/PeerListener.java
+++ b/relay/src/main/java/org/endivehold/relay/peer/PeerListener.java
@@ -8,9 +8,12 @@
     /** A daemon told something. */
     void told(String daemon, PeerMessage message);
 
-    /** A daemon is no longer connected, or has stopped. */
+    /** A daemon that told of its work is no longer connected, or has stopped. */
     void lost(String daemon);
 
+    /** A daemon that this one tells of its work is no longer reached. */
+    void unreachable(String daemon);
+
     /** Returns all that a newly connected daemon has to be told. */
     List<PeerMessage> introduction();
 
--- a/relay/src/main/java/org/endivehold/relay/peer/PeerMesh.java
+++ b/relay/src/main/java/org/endivehold/relay/peer/PeerMesh.java
@@ -9,59 +9,61 @@
 import io.vertx.core.net.NetSocket;
 import io.vertx.core.net.SocketAddress;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.endivehold.misc.LogEvent;
 import org.endivehold.misc.Ticker;
+import org.endivehold.relay.schedule.SchedulerPeers;
 import org.jboss.logging.Logger;
 
 /**
- * Connections to all other daemons.
+ * Connections between daemons.
  *
- * <p>Each daemon opens one connection to every other and tells over it; it listens on the connections of the others. A
- * message is gathered with others for some milliseconds. Both sides ping, so a connection that went silent is noticed
- * and opened anew; whoever connects tells all of its running requests first, so nothing has to be kept for a daemon
- * that was away.
+ * <p>Each daemon opens one connection to every daemon that keeps the account of engines ({@link DaemonDirectory}),
+ * tells of its work over it and gets answers on it. What is told is gathered for some milliseconds. Both sides ping, so
+ * a connection that went silent is noticed and opened anew; whoever connects tells all of its running requests first,
+ * so nothing has to be kept for a daemon that was away.
  */
-public final class PeerMesh {
+public final class PeerMesh implements SchedulerPeers {
     /** How long messages are gathered before they are sent to a few daemons, in milliseconds. */
     private static final int GATHER_MILLIS = 8;
-    /** Daemons for each further millisecond of gathering: the cost of sending grows with the fleet. */
+    /** Daemons for each further millisecond of gathering: the cost of sending grows with them. */
     private static final int DAEMONS_PER_MILLI = 2;
-    /** Longest time that messages are gathered, in milliseconds. */
-    private static final int LONGEST_GATHER_MILLIS = 60;
     /** Pause between pings, in milliseconds. */
     private static final int PING_MILLIS = 700;
     /** Silence after which a connection is given up, in milliseconds: three pings. */
     static final int SILENCE_MILLIS = 2_200;
     /** Longest time to open a connection, in milliseconds. */
     private static final int CONNECT_MILLIS = 700;
-    /** How long a daemon that is not reached still counts as one that may exist, in milliseconds. */
-    private static final int REMEMBER_MILLIS = 30_000;
+    /** How long a daemon that did not answer in time is not asked, in milliseconds. */
+    private static final int SUSPECT_MILLIS = 1_000;
+    /** Failed tries after which an address that no daemon is known at is forgotten: a stale seed. */
+    private static final int MAX_SEED_FAILURES = 12;
 
     private static final Logger log = Logger.getLogger(PeerMesh.class);
 
     private final Vertx vertx;
     private final Ticker ticker;
-    private final PeerMessage.Hello self;
+    private final DaemonDirectory directory;
     private final PeerListener listener;
     private final NetServer server;
     private final NetClient client;
     private final Map<SocketAddress, PeerLink> links = new HashMap<>();
-    private final Map<String, Long> daemons = new HashMap<>();
+    private final Set<SocketAddress> seeds = new HashSet<>();
+    private final Map<String, InboundPeer> inbound = new HashMap<>();
     private final List<PeerMessage> gathered = new ArrayList<>();
     private boolean flushing;
     private boolean closed;
 
     /** Creates the connections of one daemon. */
-    public PeerMesh(Vertx vertx, Ticker ticker, PeerMessage.Hello self, PeerListener listener) {
+    public PeerMesh(Vertx vertx, Ticker ticker, DaemonDirectory directory, PeerListener listener) {
         this.vertx = vertx;
         this.ticker = ticker;
-        this.self = self;
+        this.directory = directory;
         this.listener = listener;
         server = vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true));
         client = vertx.createNetClient(
@@ -70,29 +72,32 @@
 
     /** Starts to listen and to ping. */
     public Future<Void> start() {
-        server.connectHandler(this::accept);
+        DaemonEntry self = directory.self();
+        server.connectHandler(socket -> new InboundPeer(this, vertx, ticker, listener, socket));
         vertx.setPeriodic(PING_MILLIS, timer -> tick());
         return server.listen(self.port(), self.host()).mapEmpty();
     }
 
-    /** Makes sure that a daemon at this address is connected; tries at once, also after failures. */
-    public void connect(SocketAddress address) {
-        SocketAddress own = SocketAddress.inetSocketAddress(self.port(), self.host());
-        if (closed || address.equals(own)) {
-            return;
+    /** Asks the daemon at an address, if there is one, who else exists. */
+    public void seed(SocketAddress address) {
+        if (!address.equals(directory.self().address())) {
+            seeds.add(address);
+            open(links.computeIfAbsent(address, PeerLink::new));
         }
-        PeerLink link = links.computeIfAbsent(address, PeerLink::new);
-        link.failures = 0;
-        open(link);
     }
 
-    /** Tells all connected daemons. */
+    /** Takes note of daemons that were found in the store. */
+    public void found(List<DaemonEntry> daemons) {
+        daemons.forEach(daemon -> directory.heard(daemon, ticker.millis()));
+        retarget();
+    }
+
+    /** Tells all daemons that keep the account. */
     public void tell(PeerMessage message) {
         gathered.add(message);
         if (!flushing) {
             flushing = true;
-            int gather = GATHER_MILLIS + links.size() / DAEMONS_PER_MILLI;
-            vertx.setTimer(Math.min(gather, LONGEST_GATHER_MILLIS), timer -> flush());
+            vertx.setTimer(GATHER_MILLIS + links.size() / DAEMONS_PER_MILLI, timer -> flush());
         }
     }
 
@@ -104,16 +109,41 @@
         }
     }
 
-    /** Returns the names of the daemons that may exist, this one among them. */
-    public Collection<String> daemons() {
-        Set<String> names = new HashSet<>(daemons.keySet());
-        names.add(self.daemon());
-        return names;
+    @Override
+    public void send(String daemon, PeerMessage message) {
+        Optional<PeerLink> link = link(daemon);
+        if (link.isPresent()) {
+            link.get().send(List.of(message));
+        } else if (inbound.containsKey(daemon)) {
+            inbound.get(daemon).send(List.of(message));
+        }
     }
 
-    /** Counts a daemon that is known from elsewhere. */
-    public void remember(String daemon) {
-        daemons.put(daemon, ticker.millis());
+    /** Returns the first keeper that is reached; this daemon itself in a small fleet, or if none is. */
+    @Override
+    public String decider() {
+        if (!directory.small()) {
+            long now = ticker.millis();
+            for (DaemonEntry keeper : directory.keepers()) {
+                if (keeper.equals(directory.self())) {
+                    break;
+                }
+                if (link(keeper.name()).filter(l -> l.suspectUntil <= now).isPresent()) {
+                    return keeper.name();
+                }
+            }
+        }
+        return directory.self().name();
+    }
+
+    @Override
+    public void suspect(String daemon) {
+        link(daemon).ifPresent(link -> link.suspectUntil = ticker.millis() + SUSPECT_MILLIS);
+    }
+
+    /** Returns the daemons that are known. */
+    public DaemonDirectory directory() {
+        return directory;
     }
 
     /** Tells all that this daemon stops, and closes. */
@@ -124,6 +154,28 @@
         server.close();
     }
 
+    private Optional<PeerLink> link(String daemon) {
+        return links.values().stream()
+                .filter(link -> link.open() && link.daemon.equals(daemon))
+                .findFirst();
+    }
+
+    /** Opens connections to the daemons that keep the account, and closes those to others. */
+    private void retarget() {
+        Set<SocketAddress> wanted = new HashSet<>(seeds);
+        directory.keepers().forEach(keeper -> wanted.add(keeper.address()));
+        wanted.remove(directory.self().address());
+        for (PeerLink link : List.copyOf(links.values())) {
+            if (!wanted.contains(link.address)) {
+                links.remove(link.address);
+                if (link.open()) {
+                    link.socket.close();
+                }
+            }
+        }
+        wanted.forEach(address -> open(links.computeIfAbsent(address, PeerLink::new)));
+    }
+
     private void flush() {
         flushing = false;
         if (gathered.isEmpty()) {
@@ -138,6 +190,7 @@
 
     private void tick() {
         long now = ticker.millis();
+        directory.expire(now);
         for (PeerLink link : new ArrayList<>(links.values())) {
             if (link.open() && now - link.heardAt > SILENCE_MILLIS) {
                 LogEvent.of("peer-silent")
@@ -149,11 +202,21 @@
             }
             link.send(List.of(new PeerMessage.Ping()));
         }
-        daemons.values().removeIf(seen -> now - seen > REMEMBER_MILLIS);
+        if (directory.tellAgain(now)) {
+            PeerMessage.Members members = members();
+            inbound.values().forEach(peer -> peer.send(List.of(members)));
+        }
+        retarget();
+    }
+
+    private PeerMessage.Members members() {
+        List<PeerMessage.Member> members = new ArrayList<>();
+        directory.ages(ticker.millis()).forEach((daemon, age) -> members.add(new PeerMessage.Member(daemon, age)));
+        return new PeerMessage.Members(members);
     }
 
     private void open(PeerLink link) {
-        boolean known = links.containsValue(link);
+        boolean known = links.get(link.address) == link;
         if (closed || !known || link.open() || link.opening) {
             return;
         }
@@ -162,46 +225,63 @@
             link.opening = false;
             if (done.failed()) {
                 link.failures++;
-                if (link.failures >= PeerLink.MAX_FAILURES) {
-                    links.remove(link.address);
-                    return;
+                if (link.failures >= MAX_SEED_FAILURES) {
+                    seeds.remove(link.address);
                 }
                 vertx.setTimer(link.pauseMillis(), timer -> open(link));
-                return;
+            } else {
+                opened(link, done.result());
+            }
+        });
+    }
+
+    private void opened(PeerLink link, NetSocket socket) {
+        link.opened(socket, ticker.millis());
+        socket.handler(new FrameReader(message -> answered(link, message), fault -> fault(socket, fault)));
+        socket.closeHandler(gone -> {
+            if (socket.equals(link.socket)) {
+                closed(link);
             }
-            NetSocket socket = done.result();
-            link.opened(socket, ticker.millis());
-            socket.handler(new FrameReader(
-                    message -> {
-                        link.heardAt = ticker.millis();
-                        if (message instanceof PeerMessage.Copy) {
-                            listener.told(link.address.toString(), message);
-                        }
-                    },
-                    fault -> fault(socket, fault)));
-            socket.closeHandler(gone -> closed(link));
-            socket.exceptionHandler(failure -> socket.close());
-            List<PeerMessage> first = new ArrayList<>();
-            first.add(self);
-            first.addAll(listener.introduction());
-            link.send(first);
         });
+        socket.exceptionHandler(failure -> socket.close());
+        List<PeerMessage> first = new ArrayList<>();
+        first.add(new PeerMessage.Hello(directory.self()));
+        first.addAll(listener.introduction());
+        link.send(first);
+    }
+
+    /** Takes what a daemon said on the connection that this one opened. */
+    private void answered(PeerLink link, PeerMessage message) {
+        link.heardAt = ticker.millis();
+        if (message instanceof PeerMessage.Hello hello) {
+            link.daemon = hello.daemon().name();
+            directory.heard(hello.daemon(), link.heardAt);
+        } else if (message instanceof PeerMessage.Members list) {
+            members(list);
+        } else if (message instanceof PeerMessage.Ping) {
+            alive(link.daemon);
+        } else {
+            listener.told(link.daemon, message);
+        }
+    }
+
+    private void members(PeerMessage.Members list) {
+        long now = ticker.millis();
+        list.members().forEach(member -> directory.heard(member.daemon(), now - member.ageMillis()));
+        seeds.clear();
+        retarget();
     }
 
     private void closed(PeerLink link) {
         if (link.socket != null) {
             link.socket = null;
+            if (!link.daemon.isEmpty()) {
+                listener.unreachable(link.daemon);
+            }
             vertx.setTimer(link.pauseMillis(), timer -> open(link));
         }
     }
 
-    private void accept(NetSocket socket) {
-        Inbound inbound = new Inbound(socket);
-        socket.handler(new FrameReader(inbound::told, fault -> fault(socket, fault)));
-        socket.closeHandler(gone -> inbound.gone());
-        socket.exceptionHandler(failure -> socket.close());
-    }
-
     private void fault(NetSocket socket, String reason) {
         LogEvent.of("peer-protocol")
                 .with("address", socket.remoteAddress())
@@ -210,57 +290,26 @@
         socket.close();
     }
 
-    /** A connection that another daemon opened. */
-    private final class Inbound {
-        private final NetSocket socket;
-        private final long watchdog;
-        private String daemon = "";
-        private long heardAt = ticker.millis();
+    /** A daemon has connected and said who it is. */
+    void joined(InboundPeer peer, DaemonEntry daemon) {
+        inbound.put(daemon.name(), peer);
+        directory.heard(daemon, ticker.millis());
+        peer.send(List.of(new PeerMessage.Hello(directory.self()), members()));
+        retarget();
+    }
 
-        Inbound(NetSocket socket) {
-            this.socket = socket;
-            watchdog = vertx.setPeriodic(PING_MILLIS, timer -> {
-                if (ticker.millis() - heardAt > SILENCE_MILLIS) {
-                    socket.close();
-                    gone();
-                }
-            });
-        }
+    /** A connected daemon was heard. */
+    void alive(String daemon) {
+        directory.heardAgain(daemon, ticker.millis());
+    }
 
-        void told(PeerMessage message) {
-            heardAt = ticker.millis();
-            if (!daemon.isEmpty()) {
-                daemons.put(daemon, heardAt);
-            }
-            if (message instanceof PeerMessage.Hello hello) {
-                daemon = hello.daemon();
-                LogEvent.of("peer-connected")
-                        .with("peer", daemon)
-                        .with("address", hello.host() + ":" + hello.port())
-                        .info(log);
-                daemons.put(daemon, heardAt);
-                connect(SocketAddress.inetSocketAddress(hello.port(), hello.host()));
-                listener.told(daemon, message);
-            } else if (message instanceof PeerMessage.Ping ping) {
-                socket.write(PeerCodec.encode(List.of(ping)));
-            } else if (message instanceof PeerMessage.CopyWanted wanted) {
-                listener.copy(wanted.prefix(), wanted.revision())
-                        .ifPresent(copy -> socket.write(PeerCodec.encode(List.of(copy))));
-            } else if (message instanceof PeerMessage.Bye) {
-                daemons.remove(daemon);
-                gone();
-            } else {
-                listener.told(daemon, message);
-            }
-        }
+    /** A connected daemon says that it stops. */
+    void stopped(String daemon) {
+        directory.stopped(daemon, ticker.millis());
+    }
 
-        void gone() {
-            vertx.cancelTimer(watchdog);
-            if (!daemon.isEmpty()) {
-                LogEvent.of("peer-lost").with("peer", daemon).info(log);
-                listener.lost(daemon);
-                daemon = "";
-            }
-        }
+    /** A connection that another daemon opened has ended. */
+    void left(InboundPeer peer, String daemon) {
+        inbound.remove(daemon, peer);
     }
 }
--- a/relay/src/main/java/org/endivehold/relay/peer/PeerMessage.java
+++ b/relay/src/main/java/org/endivehold/relay/peer/PeerMessage.java
@@ -3,18 +3,25 @@
 import java.util.List;
 import org.endivehold.relay.engine.EngineJob;
 import org.endivehold.relay.engine.JobId;
+import org.endivehold.relay.engine.Placement;
+import org.endivehold.relay.schedule.EngineRequest;
 import org.endivehold.relay.state.SharedStore;
 
 /** What daemons tell each other. */
 public sealed interface PeerMessage {
+    /** First message on each connection, from both sides: who speaks. */
+    record Hello(DaemonEntry daemon) implements PeerMessage {}
+
+    /** Daemons that the sender knows. */
+    record Members(List<Member> members) implements PeerMessage {}
+
     /**
-     * First message on each connection.
+     * A daemon that the sender knows.
      *
-     * @param daemon name of the sender with the number of its start
-     * @param host address of its peer port
-     * @param port its peer port
+     * @param daemon the daemon
+     * @param ageMillis time since it was heard of
      */
-    record Hello(String daemon, String host, int port) implements PeerMessage {}
+    record Member(DaemonEntry daemon, long ageMillis) {}
 
     /** A request was sent to engines. */
     record JobPlaced(EngineJob job, boolean writing) implements PeerMessage {}
@@ -22,9 +29,21 @@
     /** A request produced its first token. */
     record JobWriting(JobId id) implements PeerMessage {}
 
-    /** A request ended. */
+    /** A request ended, or its wish for engines is taken back. */
     record JobEnded(JobId id) implements PeerMessage {}
 
+    /** Asks for engines. */
+    record EnginesWanted(EngineRequest request) implements PeerMessage {}
+
+    /** A wish for engines waits until some come free. */
+    record EnginesAwaited(JobId id) implements PeerMessage {}
+
+    /** Engines were chosen. */
+    record EnginesChosen(EngineJob job, Placement placement) implements PeerMessage {}
+
+    /** No engine suits a wish; its caller may come back after a time. */
+    record EnginesRefused(JobId id, double retryAfterMillis) implements PeerMessage {}
+
     /**
      * An upstream failed.
      *
@@ -33,6 +52,15 @@
      */
     record UpstreamFailed(String upstream, int outMillis) implements PeerMessage {}
 
+    /**
+     * An upstream runs requests and fails, or slower than its profile.
+     *
+     * @param upstream its id
+     * @param failed whether it failed a request that it ran
+     * @param pace how many times slower than its profile it is
+     */
+    record UpstreamSeen(String upstream, boolean failed, double pace) implements PeerMessage {}
+
     /**
      * Asks for a newer copy of the store's items.
      *
--- a/relay/src/main/java/org/endivehold/relay/schedule/EngineRequest.java
+++ b/relay/src/main/java/org/endivehold/relay/schedule/EngineRequest.java
@@ -16,6 +16,11 @@
  */
 public record EngineRequest(
         JobId id, String service, PromptNeed need, Set<String> avoided, Set<String> coldAllowed, boolean waits) {
+    /** Returns the same wish some time later. */
+    EngineRequest after(double millis) {
+        return new EngineRequest(id, service, need.after(millis), avoided, coldAllowed, waits);
+    }
+
     /** Keeps immutable copies of the sets. */
     public EngineRequest {
         avoided = Set.copyOf(avoided);
--- a/relay/src/main/java/org/endivehold/relay/schedule/EngineWork.java
+++ b/relay/src/main/java/org/endivehold/relay/schedule/EngineWork.java
@@ -1,7 +1,9 @@
 package org.endivehold.relay.schedule;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.function.Consumer;
 import org.endivehold.misc.Rendezvous;
 import org.endivehold.misc.Ticker;
@@ -15,7 +17,13 @@
     /** How long other daemons leave out an engine that failed here, in milliseconds: their own look may differ. */
     private static final int FAILED_OUT_MILLIS = 500;
 
+    /** Pause between words to others about one engine's pace, in milliseconds. */
+    private static final long PACE_PAUSE_MILLIS = 400;
+    /** How many times slower than its profile an engine is when others are told. */
+    private static final double SLOW_PACE = 1.25;
+
     private final EngineBoard board = new EngineBoard();
+    private final Map<String, Long> paceTold = new HashMap<>();
     private final Ticker ticker;
     private final String self;
     private final Consumer<PeerMessage> peers;
@@ -83,6 +91,16 @@
         peers.accept(new PeerMessage.UpstreamFailed(engine, FAILED_OUT_MILLIS));
     }
 
+    /** Tells other daemons how an engine serves: that it failed a request it ran, or how slow it is. */
+    public void tellSeen(String engine, boolean failed, double pace) {
+        long now = ticker.millis();
+        Long last = paceTold.get(engine);
+        if (failed || (pace >= SLOW_PACE && (last == null || now - last >= PACE_PAUSE_MILLIS))) {
+            paceTold.put(engine, now);
+            peers.accept(new PeerMessage.UpstreamSeen(engine, failed, pace));
+        }
+    }
+
     /** Returns what a daemon that connects has to know of this one's work. */
     public List<PeerMessage> introduction() {
         List<PeerMessage> messages = new ArrayList<>();
--- a/relay/src/main/java/org/endivehold/relay/schedule/LocalScheduler.java
+++ b/relay/src/main/java/org/endivehold/relay/schedule/LocalScheduler.java
@@ -106,6 +106,11 @@
         waiting.remove(id);
     }
 
+    /** Tells whether a request waits here. */
+    boolean waitsFor(JobId id) {
+        return waiting.containsKey(id);
+    }
+
     /** Drops all requests of a daemon that is gone. */
     public void withdrawAll(String daemon) {
         waiting.keySet().removeIf(id -> id.daemon().equals(daemon));
--- a/relay/src/main/java/org/endivehold/relay/serve/StreamAttempt.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/StreamAttempt.java
@@ -254,8 +254,7 @@
         context.health().heard(job.writer(), now);
         if (begun) {
             pace.gap(now - heardAt);
-            pace.factor(profile.passMillis(1, (double) job.promptTokens()))
-                    .ifPresent(factor -> context.health().pace(job.writer(), factor, now));
+            pace.factor(profile.passMillis(1, (double) job.promptTokens())).ifPresent(factor -> seen(factor, now));
         } else {
             begun = true;
             context.engines().firstToken(job);
@@ -273,6 +272,11 @@
         listener.event(id, bytes);
     }
 
+    private void seen(double factor, double now) {
+        context.health().pace(job.writer(), factor, now);
+        context.engines().tellSeen(job.writer(), false, factor);
+    }
+
     @Override
     public void complete() {
         String attempt = exchange.facts().attempt();
--- a/relay/src/main/java/org/endivehold/relay/serve/StreamFlow.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/StreamFlow.java
@@ -234,6 +234,7 @@
     private void failure(AnswerFacts answer, MultiMap headers, Buffer body) {
         exchange.note("failed:" + answer.status());
         context.health().answeredWithFailure(attempt.job().writer(), context.now());
+        context.engines().tellSeen(attempt.job().writer(), true, 1);
         if (answer.failure() && mayResume()) {
             broken("failed");
             return;
