Let the daemons that keep the account watch the store for the others

Ruled out: longer waits alone (a connection that goes silent is noticed later, and wake-ups stay).

Change: in a large fleet the three daemons that keep the account watch, pass on each change at once, and say every 0.7 s that the store confirms their copies; the others make no calls while one says so, and watch for themselves 1.6 s after the last word. A change counts by its revision, whoever brings it.

--- a/daemon/src/main/java/org/endivehold/daemon/entry/EntryDaemon.java
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/EntryDaemon.java
@@ -6,6 +6,7 @@
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
+import java.util.List;
 import java.util.function.Supplier;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -15,6 +16,7 @@
 import org.endivehold.relay.limit.ColdLimit;
 import org.endivehold.relay.limit.RetryShare;
 import org.endivehold.relay.limit.UpstreamHealth;
+import org.endivehold.relay.peer.CopyExchange;
 import org.endivehold.relay.peer.DaemonDirectory;
 import org.endivehold.relay.peer.DaemonEntry;
 import org.endivehold.relay.peer.PeerMesh;
@@ -38,8 +40,6 @@
 public final class EntryDaemon {
     /** Pause between looks at the account of engines and at copies of the store, in milliseconds. */
     private static final long TICK_MILLIS = 500;
-    /** Silence of the store after which other daemons are asked for their copies, in milliseconds. */
-    private static final double ASK_AFTER_MILLIS = 400;
 
     private static final Logger log = Logger.getLogger(EntryDaemon.class);
 
@@ -49,6 +49,7 @@
     private final PeerMesh mesh;
     private final WatchedPrefix operators;
     private final WatchedPrefix upstreams;
+    private final CopyExchange copies;
     private final FleetState fleet;
     private final EngineWork engines;
     private final UpstreamHealth health = new UpstreamHealth();
@@ -56,7 +57,6 @@
     private final CallerServer callers;
     private final StatusServer status;
     private final Ticker ticker = Ticker.system();
-    private int turn;
 
     /**
      * Assembles a daemon.
@@ -86,11 +86,13 @@
         DaemonEntry entry = new DaemonEntry(
                 self, settings.peers().host(), settings.peers().port(), settings.zone(), settings.capacity());
         engines = new EngineWork(ticker, self, this::tell);
-        PeerExchange exchange = new PeerExchange(engines, health, ticker, operators, upstreams);
-        mesh = new PeerMesh(vertx, ticker, new DaemonDirectory(entry), exchange);
+        PeerExchange exchange = new PeerExchange(engines, health, ticker);
+        DaemonDirectory directory = new DaemonDirectory(entry);
+        mesh = new PeerMesh(vertx, ticker, directory, exchange);
+        copies = new CopyExchange(directory, List.of(operators, upstreams), mesh);
         LocalScheduler local = new LocalScheduler(vertx, ticker, random, fleet, health, engines);
         SharedScheduler scheduler = new SharedScheduler(vertx, ticker, self, local, engines, mesh);
-        exchange.scheduler(scheduler);
+        exchange.connect(scheduler, copies);
         registration = new Registration(vertx, store, decoder.daemonPrefix(), entry, settings, mesh);
         PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
         RelayBounds bounds = settings.bounds();
@@ -107,7 +109,7 @@
                 health,
                 new ColdLimit(self),
                 new RetryShare(bounds.retryRatio(), bounds.retrySlack(), bounds.retryWindowMillis()),
-                new MeshCount(mesh.directory()),
+                new MeshCount(directory),
                 new RelayMetrics(registry)));
         status = new StatusServer(vertx, settings, dialect.readinessPath(), registry, fleet::complete);
     }
@@ -146,6 +148,7 @@
     private void watch() {
         operators.start();
         upstreams.start();
+        copies.start(vertx);
         settings.seeds().forEach(mesh::seed);
         registration.start();
         vertx.setPeriodic(TICK_MILLIS, timer -> tick());
@@ -180,14 +183,7 @@
         engines.board().expire((double) ticker.millis(), self);
         engines.board().retain(fleet.ids());
         health.retain(fleet.ids());
-        askIfBehind(operators);
-        askIfBehind(upstreams);
-    }
-
-    private void askIfBehind(WatchedPrefix copy) {
-        if (copy.silentMillis() > ASK_AFTER_MILLIS) {
-            mesh.ask(new PeerMessage.CopyWanted(copy.prefix(), copy.revision()), turn++);
-        }
+        copies.askIfBehind();
     }
 
     private double sinceOutageMillis() {
--- a/daemon/src/main/java/org/endivehold/daemon/entry/PeerExchange.java
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/PeerExchange.java
@@ -4,36 +4,30 @@
 import java.util.Optional;
 import org.endivehold.misc.Ticker;
 import org.endivehold.relay.limit.UpstreamHealth;
+import org.endivehold.relay.peer.CopyExchange;
 import org.endivehold.relay.peer.PeerListener;
 import org.endivehold.relay.peer.PeerMessage;
 import org.endivehold.relay.schedule.EngineWork;
 import org.endivehold.relay.schedule.SharedScheduler;
-import org.endivehold.relay.state.SharedStore;
-import org.endivehold.relay.state.WatchedPrefix;
 
 /** Hands what other daemons tell to whom it concerns. */
 final class PeerExchange implements PeerListener {
     private final EngineWork engines;
     private final UpstreamHealth health;
     private final Ticker ticker;
-    private final List<WatchedPrefix> copies;
     private SharedScheduler scheduler;
+    private CopyExchange copies;
 
-    PeerExchange(
-            EngineWork engines,
-            UpstreamHealth health,
-            Ticker ticker,
-            WatchedPrefix operators,
-            WatchedPrefix upstreams) {
+    PeerExchange(EngineWork engines, UpstreamHealth health, Ticker ticker) {
         this.engines = engines;
         this.health = health;
         this.ticker = ticker;
-        copies = List.of(operators, upstreams);
     }
 
-    /** Sets what decides about engines; it needs the connections, which need this. */
-    void scheduler(SharedScheduler value) {
-        scheduler = value;
+    /** Sets what decides about engines and what passes on copies; both need the connections, which need this. */
+    void connect(SharedScheduler schedulerValue, CopyExchange copiesValue) {
+        scheduler = schedulerValue;
+        copies = copiesValue;
     }
 
     @Override
@@ -41,7 +35,7 @@
         if (message instanceof PeerMessage.JobWriting writing) {
             engines.board().writer(writing.id()).ifPresent(writer -> health.answered(writer, (double) ticker.millis()));
         }
-        if (scheduler.told(daemon, message) || engines.told(message)) {
+        if (scheduler.told(daemon, message) || engines.told(message) || copies.told(daemon, message)) {
             return;
         }
         if (message instanceof PeerMessage.UpstreamFailed failed) {
@@ -49,9 +43,6 @@
             health.eject(failed.upstream(), now + failed.outMillis(), now);
         } else if (message instanceof PeerMessage.UpstreamSeen seen) {
             seen(seen, (double) ticker.millis());
-        } else if (message instanceof PeerMessage.Copy copy) {
-            copy(copy.prefix())
-                    .ifPresent(mine -> mine.offer(new SharedStore.Range(copy.items(), copy.revision()), daemon));
         }
     }
 
@@ -81,12 +72,6 @@
 
     @Override
     public Optional<PeerMessage.Copy> copy(String prefix, long newerThan) {
-        return copy(prefix)
-                .filter(mine -> mine.revision() > newerThan)
-                .map(mine -> new PeerMessage.Copy(prefix, mine.revision(), mine.items()));
-    }
-
-    private Optional<WatchedPrefix> copy(String prefix) {
-        return copies.stream().filter(c -> c.prefix().equals(prefix)).findFirst();
+        return copies.copy(prefix, newerThan);
     }
 }
--- a/relay/src/main/java/org/endivehold/relay/peer/PeerCodec.java
+++ b/relay/src/main/java/org/endivehold/relay/peer/PeerCodec.java
@@ -35,6 +35,8 @@
     private static final int ENGINES_CHOSEN = 13;
     private static final int ENGINES_REFUSED = 14;
     private static final int SEEN = 15;
+    private static final int COPY_CURRENT = 16;
+    private static final int COPY_CHANGED = 17;
 
     private PeerCodec() {}
 
@@ -63,6 +65,12 @@
             PeerFields.pack(packer.packInt(COPY), copy);
         } else if (message instanceof PeerMessage.CopyWanted wanted) {
             packer.packInt(COPY_WANTED).packString(wanted.prefix()).packLong(wanted.revision());
+        } else if (message instanceof PeerMessage.CopyCurrent current) {
+            packer.packInt(COPY_CURRENT).packString(current.prefix()).packLong(current.revision());
+            packer.packLong(current.changedAt()).packDouble(current.regainedMillis());
+        } else if (message instanceof PeerMessage.CopyChanged changed) {
+            packer.packInt(COPY_CHANGED).packString(changed.prefix()).packLong(changed.after());
+            PeerFields.pack(packer, changed.changes());
         } else if (message instanceof PeerMessage.UpstreamFailed failed) {
             packer.packInt(FAILED).packString(failed.upstream()).packInt(failed.outMillis());
         } else if (message instanceof PeerMessage.UpstreamSeen seen) {
@@ -125,6 +133,12 @@
             case MEMBERS -> PeerFields.members(unpacker);
             case COPY -> PeerFields.copy(unpacker);
             case COPY_WANTED -> new PeerMessage.CopyWanted(unpacker.unpackString(), unpacker.unpackLong());
+            case COPY_CURRENT ->
+                new PeerMessage.CopyCurrent(
+                        unpacker.unpackString(), unpacker.unpackLong(), unpacker.unpackLong(), unpacker.unpackDouble());
+            case COPY_CHANGED ->
+                new PeerMessage.CopyChanged(
+                        unpacker.unpackString(), unpacker.unpackLong(), PeerFields.changes(unpacker));
             case FAILED -> new PeerMessage.UpstreamFailed(unpacker.unpackString(), unpacker.unpackInt());
             case SEEN ->
                 new PeerMessage.UpstreamSeen(
--- a/relay/src/main/java/org/endivehold/relay/peer/PeerFields.java
+++ b/relay/src/main/java/org/endivehold/relay/peer/PeerFields.java
@@ -6,6 +6,7 @@
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import org.endivehold.relay.engine.EngineJob;
 import org.endivehold.relay.engine.JobId;
@@ -148,8 +149,7 @@
         packer.packArrayHeader(copy.items().size());
         for (SharedStore.Item item : copy.items()) {
             packer.packString(item.key()).packLong(item.revision());
-            byte[] value = item.value().getBytes();
-            packer.packBinaryHeader(value.length).writePayload(value);
+            pack(packer, item.value());
         }
     }
 
@@ -161,9 +161,41 @@
         for (int i = 0; i < count; i++) {
             String key = unpacker.unpackString();
             long itemRevision = unpacker.unpackLong();
-            byte[] value = unpacker.readPayload(unpacker.unpackBinaryHeader());
-            items.add(new SharedStore.Item(key, Buffer.buffer(value), itemRevision));
+            items.add(new SharedStore.Item(key, binary(unpacker), itemRevision));
         }
         return new PeerMessage.Copy(prefix, revision, items);
     }
+
+    static void pack(MessagePacker packer, SharedStore.Changes changes) throws IOException {
+        packer.packLong(changes.revision()).packArrayHeader(changes.changes().size());
+        for (SharedStore.Change change : changes.changes()) {
+            packer.packString(change.key()).packLong(change.revision());
+            packer.packBoolean(change.value().isPresent());
+            if (change.value().isPresent()) {
+                pack(packer, change.value().get());
+            }
+        }
+    }
+
+    static SharedStore.Changes changes(MessageUnpacker unpacker) throws IOException {
+        long revision = unpacker.unpackLong();
+        int count = unpacker.unpackArrayHeader();
+        List<SharedStore.Change> changes = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            String key = unpacker.unpackString();
+            long at = unpacker.unpackLong();
+            Optional<Buffer> value = unpacker.unpackBoolean() ? Optional.of(binary(unpacker)) : Optional.empty();
+            changes.add(new SharedStore.Change(key, at, value));
+        }
+        return new SharedStore.Changes(changes, revision);
+    }
+
+    private static void pack(MessagePacker packer, Buffer value) throws IOException {
+        byte[] bytes = value.getBytes();
+        packer.packBinaryHeader(bytes.length).writePayload(bytes);
+    }
+
+    private static Buffer binary(MessageUnpacker unpacker) throws IOException {
+        return Buffer.buffer(unpacker.readPayload(unpacker.unpackBinaryHeader()));
+    }
 }
--- a/relay/src/main/java/org/endivehold/relay/peer/PeerMesh.java
+++ b/relay/src/main/java/org/endivehold/relay/peer/PeerMesh.java
@@ -101,6 +101,11 @@
         }
     }
 
+    /** Tells all daemons that have connected to this one. */
+    public void tellConnected(PeerMessage message) {
+        inbound.values().forEach(peer -> peer.send(List.of(message)));
+    }
+
     /** Asks one connected daemon, a different one each time, for a newer copy of the store's items. */
     public void ask(PeerMessage.CopyWanted wanted, int turn) {
         List<PeerLink> open = links.values().stream().filter(PeerLink::open).toList();
@@ -203,8 +208,7 @@
             link.send(List.of(new PeerMessage.Ping()));
         }
         if (directory.tellAgain(now)) {
-            PeerMessage.Members members = members();
-            inbound.values().forEach(peer -> peer.send(List.of(members)));
+            tellConnected(members());
         }
         retarget();
     }
--- a/relay/src/main/java/org/endivehold/relay/peer/PeerMessage.java
+++ b/relay/src/main/java/org/endivehold/relay/peer/PeerMessage.java
@@ -72,6 +72,25 @@
     /** A copy of the store's items. */
     record Copy(String prefix, long revision, List<SharedStore.Item> items) implements PeerMessage {}
 
+    /**
+     * The sender watches the store, and its copy of the items is current.
+     *
+     * @param prefix their prefix
+     * @param revision revision of the copy
+     * @param changedAt revision since which nothing has changed
+     * @param regainedMillis how long ago the store answered the sender again after failures
+     */
+    record CopyCurrent(String prefix, long revision, long changedAt, double regainedMillis) implements PeerMessage {}
+
+    /**
+     * Changes that the store reported to the sender.
+     *
+     * @param prefix prefix of the items
+     * @param after revision after which these are all changes
+     * @param changes the changes
+     */
+    record CopyChanged(String prefix, long after, SharedStore.Changes changes) implements PeerMessage {}
+
     /** Shows that the connection works. */
     record Ping() implements PeerMessage {}
 
--- a/relay/src/main/java/org/endivehold/relay/state/WatchedPrefix.java
+++ b/relay/src/main/java/org/endivehold/relay/state/WatchedPrefix.java
@@ -1,12 +1,8 @@
 package org.endivehold.relay.state;
 
 import io.vertx.core.Vertx;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
-import java.util.Set;
+import java.util.function.ObjLongConsumer;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.endivehold.error.EndiveholdException;
 import org.endivehold.error.ErrorType;
@@ -23,10 +19,17 @@
  * what is missing in it was removed. A wait is short, so that a connection that went silent is noticed within seconds.
  *
  * <p>While the store does not answer, the copy stands, and copies of other daemons are taken if they are newer.
+ *
+ * <p>In a large fleet only a few daemons watch; the others follow them ({@code CopyExchange}). Who has not heard from
+ * one that watches for {@value #VOUCH_MILLIS} ms watches for itself, from the revision that it has.
  */
 public final class WatchedPrefix {
     /** Longest wait of one watch call, in milliseconds: a silent connection is noticed after about this time. */
     static final int WAIT_MILLIS = 2_500;
+    /** Longest time that an answer takes beyond the wait, in milliseconds; the adapter's calls time out later. */
+    private static final int ANSWER_MILLIS = 700;
+    /** How long the word of a daemon that watches counts, in milliseconds: two of its words may be lost or late. */
+    static final int VOUCH_MILLIS = 1_600;
     /** First pause after a failed call, in milliseconds. */
     private static final int FIRST_PAUSE_MILLIS = 100;
     /** Longest pause after failed calls, in milliseconds: calls are priced also when they fail. */
@@ -40,13 +43,15 @@
     private final Ticker ticker;
     private final UniformRandomProvider random;
     private final ItemListener listener;
-    private final Map<String, SharedStore.Item> items = new HashMap<>();
+    private final PrefixCopy copy;
 
-    private long revision = -1;
+    private ObjLongConsumer<SharedStore.Changes> follower = (changes, after) -> {};
     private boolean anew = true;
     private int failures;
     private double failingSince = -1;
     private double regainedAt = Double.NEGATIVE_INFINITY;
+    private double confirmedAt = Double.NEGATIVE_INFINITY;
+    private double vouchedUntil = Double.NEGATIVE_INFINITY;
     private boolean closed;
 
     /** Creates the copy; it is empty until started. */
@@ -63,6 +68,12 @@
         this.ticker = ticker;
         this.random = random;
         this.listener = listener;
+        this.copy = new PrefixCopy(listener);
+    }
+
+    /** Sets who is told of changes that the store reported, with the revision after which they are all. */
+    public void onChanges(ObjLongConsumer<SharedStore.Changes> value) {
+        follower = value;
     }
 
     /** Starts to read and watch. */
@@ -82,12 +93,22 @@
 
     /** Returns the revision up to which the copy is complete; -1 before the first. */
     public long revision() {
-        return revision;
+        return copy.revision();
+    }
+
+    /** Returns a revision since which nothing has changed in the copy. */
+    public long changedAt() {
+        return copy.changedAt();
     }
 
     /** Returns the items of the copy. */
     public List<SharedStore.Item> items() {
-        return new ArrayList<>(items.values());
+        return copy.items();
+    }
+
+    /** Tells whether the store itself confirmed the copy within the time of one call. */
+    public boolean confirmed() {
+        return failures == 0 && ticker.millis() - confirmedAt <= WAIT_MILLIS + ANSWER_MILLIS;
     }
 
     /** Returns since when the store has not answered, in milliseconds; 0 if it answers. */
@@ -100,30 +121,72 @@
         return ticker.millis() - regainedAt;
     }
 
+    /**
+     * Takes note that another daemon watches the store and keeps its copy current. For a while this one relies on it
+     * and makes no calls.
+     *
+     * @param theirs revision of the other daemon's copy
+     * @param changedAt revision since which nothing has changed there
+     * @param regainedMillis how long ago the store answered that daemon again after failures
+     * @return false if this copy is older, so that something is missing
+     */
+    public boolean vouched(long theirs, long changedAt, double regainedMillis) {
+        double now = ticker.millis();
+        vouchedUntil = now + VOUCH_MILLIS;
+        regainedAt = Math.max(regainedAt, now - regainedMillis);
+        answered("peer");
+        boolean complete = revision() >= changedAt;
+        if (complete) {
+            copy.unchanged(theirs);
+        }
+        return complete;
+    }
+
+    /**
+     * Takes changes that another daemon saw.
+     *
+     * @param changes the changes
+     * @param after revision after which they are all
+     * @return false if this copy is older than that, so that something is missing
+     */
+    public boolean follow(SharedStore.Changes changes, long after) {
+        if (revision() < after) {
+            return false;
+        }
+        if (changes.revision() > revision()) {
+            copy.apply(changes);
+            listener.current(this);
+        }
+        return true;
+    }
+
     /** Takes the copy of another daemon if it is newer than this one. */
-    public void offer(SharedStore.Range copy, String from) {
-        if (copy.revision() <= revision) {
+    public void offer(SharedStore.Range theirs, String from) {
+        if (theirs.revision() <= revision()) {
             return;
         }
         LogEvent.of("store-copy-taken")
                 .with("prefix", prefix)
                 .with("from", from)
-                .with("revision", copy.revision())
-                .with("had", revision)
+                .with("revision", theirs.revision())
+                .with("had", revision())
                 .info(log);
-        replace(copy);
+        replace(theirs);
     }
 
     private void step() {
         if (closed) {
             return;
         }
-        if (anew) {
+        double vouched = vouchedUntil - ticker.millis();
+        if (vouched > 0 && revision() >= 0) {
+            vertx.setTimer((long) vouched + 1, timer -> step());
+        } else if (anew) {
             store.range(prefix).onComplete(read -> {
                 if (read.succeeded()) {
                     heard();
                     anew = false;
-                    if (read.result().revision() >= revision) {
+                    if (read.result().revision() >= revision()) {
                         replace(read.result());
                     }
                     step();
@@ -132,7 +195,7 @@
                 }
             });
         } else {
-            store.watch(prefix, revision, WAIT_MILLIS).onComplete(seen -> {
+            store.watch(prefix, revision(), WAIT_MILLIS).onComplete(seen -> {
                 if (seen.succeeded()) {
                     heard();
                     apply(seen.result());
@@ -145,10 +208,17 @@
     }
 
     private void heard() {
+        confirmedAt = ticker.millis();
+        answered("store");
+    }
+
+    /** The store has answered, this daemon or one that tells. */
+    private void answered(String from) {
         failures = 0;
         if (failingSince >= 0) {
             LogEvent.of("store-regained")
                     .with("prefix", prefix)
+                    .with("from", from)
                     .with("silent_ms", ticker.millis() - failingSince)
                     .info(log);
             failingSince = -1;
@@ -160,7 +230,7 @@
         if (cause instanceof EndiveholdException e && e.type() == ErrorType.STORE_HISTORY_GONE) {
             LogEvent.of("store-history-gone")
                     .with("prefix", prefix)
-                    .with("revision", revision)
+                    .with("revision", revision())
                     .info(log);
             anew = true;
             step();
@@ -170,7 +240,7 @@
             failingSince = ticker.millis();
             LogEvent.of("store-lost")
                     .with("prefix", prefix)
-                    .with("revision", revision)
+                    .with("revision", revision())
                     .with("reason", cause.getMessage())
                     .warn(log);
         }
@@ -181,41 +251,16 @@
     }
 
     private void apply(SharedStore.Changes changes) {
-        for (SharedStore.Change change : changes.changes()) {
-            SharedStore.Item known = items.get(change.key());
-            if (known != null && known.revision() >= change.revision()) {
-                continue;
-            }
-            if (change.value().isPresent()) {
-                SharedStore.Item item =
-                        new SharedStore.Item(change.key(), change.value().get(), change.revision());
-                items.put(change.key(), item);
-                listener.written(item);
-            } else if (items.remove(change.key()) != null) {
-                listener.removed(change.key());
-            }
-        }
-        revision = Math.max(revision, changes.revision());
+        long before = copy.changedAt();
+        copy.apply(changes);
         listener.current(this);
+        if (!changes.changes().isEmpty()) {
+            follower.accept(changes, before);
+        }
     }
 
     private void replace(SharedStore.Range range) {
-        Set<String> missing = new HashSet<>(items.keySet());
-        for (SharedStore.Item item : range.items()) {
-            missing.remove(item.key());
-            SharedStore.Item known = items.get(item.key());
-            if (known == null || known.revision() < item.revision()) {
-                items.put(item.key(), item);
-                listener.written(item);
-            }
-        }
-        for (String key : missing) {
-            if (items.get(key).revision() <= range.revision()) {
-                items.remove(key);
-                listener.removed(key);
-            }
-        }
-        revision = range.revision();
+        copy.replace(range);
         listener.current(this);
     }
 }
--- a/relay/src/test/java/org/endivehold/relay/peer/PeerCodecTest.java
+++ b/relay/src/test/java/org/endivehold/relay/peer/PeerCodecTest.java
@@ -6,6 +6,7 @@
 import io.vertx.core.buffer.Buffer;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import org.endivehold.error.EndiveholdException;
 import org.endivehold.relay.engine.EngineJob;
@@ -35,6 +36,15 @@
             new PeerMessage.UpstreamFailed("a", 600),
             new PeerMessage.CopyWanted("op/", 12),
             new PeerMessage.Copy("op/", 13, List.of(new SharedStore.Item("op/x", Buffer.buffer("value"), 13))),
+            new PeerMessage.CopyCurrent("op/", 13, 12, 1_500),
+            new PeerMessage.CopyChanged(
+                    "op/",
+                    12,
+                    new SharedStore.Changes(
+                            List.of(
+                                    new SharedStore.Change("op/x", 13, Optional.of(Buffer.buffer("new"))),
+                                    new SharedStore.Change("op/y", 14, Optional.empty())),
+                            15)),
             new PeerMessage.Ping(),
             new PeerMessage.Bye());
 
--- /dev/null
+++ b/relay/src/test/java/org/endivehold/relay/state/CopyExchangeTest.java
@@ -0,0 +1,150 @@
+package org.endivehold.relay.state;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.BooleanSupplier;
+import org.apache.commons.rng.simple.RandomSource;
+import org.endivehold.misc.Ticker;
+import org.endivehold.relay.peer.CopyExchange;
+import org.endivehold.relay.peer.DaemonDirectory;
+import org.endivehold.relay.peer.DaemonEntry;
+import org.endivehold.relay.peer.PeerListener;
+import org.endivehold.relay.peer.PeerMesh;
+import org.endivehold.relay.peer.PeerMessage;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** A large fleet on loopback, with one store in memory. */
+class CopyExchangeTest {
+    private static final int LIMIT_SECONDS = 15;
+    private static final int FLEET = 12;
+    private static final int WATCHING = 3;
+
+    private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+    private final FakeStore store = new FakeStore();
+    private final List<Daemon> daemons = new ArrayList<>();
+
+    /** A daemon that has a copy and does nothing else. */
+    private final class Daemon implements PeerListener, ItemListener {
+        private final WatchedPrefix copy =
+                new WatchedPrefix(vertx, store, "s/", Ticker.system(), RandomSource.SPLIT_MIX_64.create(1), this);
+        private final DaemonEntry entry;
+        private final DaemonDirectory directory;
+        private final PeerMesh mesh;
+        private final CopyExchange exchange;
+
+        Daemon(String name) throws Exception {
+            try (ServerSocket socket = new ServerSocket(0)) {
+                entry = new DaemonEntry(name, "127.0.0.1", socket.getLocalPort(), "zone", 1);
+            }
+            directory = new DaemonDirectory(entry);
+            mesh = new PeerMesh(vertx, Ticker.system(), directory, this);
+            exchange = new CopyExchange(directory, List.of(copy), mesh);
+            mesh.start().toCompletionStage().toCompletableFuture().get(LIMIT_SECONDS, TimeUnit.SECONDS);
+        }
+
+        void begin(List<DaemonEntry> fleet) {
+            copy.start();
+            exchange.start(vertx);
+            mesh.found(fleet);
+        }
+
+        @Override
+        public void written(SharedStore.Item item) {}
+
+        @Override
+        public void removed(String key) {}
+
+        @Override
+        public void told(String daemon, PeerMessage message) {
+            exchange.told(daemon, message);
+        }
+
+        @Override
+        public void lost(String daemon) {}
+
+        @Override
+        public void unreachable(String daemon) {}
+
+        @Override
+        public List<PeerMessage> introduction() {
+            return List.of();
+        }
+
+        @Override
+        public Optional<PeerMessage.Copy> copy(String prefix, long newerThan) {
+            return exchange.copy(prefix, newerThan);
+        }
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        vertx.close().toCompletionStage().toCompletableFuture().get(LIMIT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    /** Waits until a condition holds, after a step that is tried again and again. */
+    private void until(String what, Runnable step, BooleanSupplier condition) throws Exception {
+        CompletableFuture<Void> met = new CompletableFuture<>();
+        vertx.runOnContext(ignored -> vertx.setPeriodic(20, timer -> {
+            step.run();
+            if (condition.getAsBoolean()) {
+                vertx.cancelTimer(timer);
+                met.complete(null);
+            }
+        }));
+        try {
+            met.get(LIMIT_SECONDS, TimeUnit.SECONDS);
+        } catch (TimeoutException e) {
+            throw new AssertionError(what, e);
+        }
+    }
+
+    private void fleet() throws Exception {
+        for (int i = 0; i < FLEET; i++) {
+            daemons.add(new Daemon("d" + i + "#1"));
+        }
+        List<DaemonEntry> entries = daemons.stream().map(daemon -> daemon.entry).toList();
+        vertx.runOnContext(ignored -> {
+            store.write("s/a", "1");
+            daemons.forEach(daemon -> daemon.begin(entries));
+        });
+        until("only the keepers watch", store::lapse, () -> store.watches() == WATCHING);
+    }
+
+    @Test
+    void fewWatchAndAllHearOfChanges() throws Exception {
+        fleet();
+        vertx.runOnContext(ignored -> store.write("s/b", "2"));
+        until("all know", () -> {}, () -> daemons.stream()
+                .allMatch(d -> d.copy.items().size() == 2));
+        assertEquals(FLEET, store.ranges());
+    }
+
+    /** Pattern: the hosts of those that watch can't reach the store, or are gone. */
+    @Test
+    void theOthersWatchForThemselvesWhenNobodyWatchesForThem() throws Exception {
+        fleet();
+        List<DaemonEntry> keepers = daemons.get(0).directory.keepers();
+        for (Daemon daemon : daemons) {
+            if (keepers.contains(daemon.entry)) {
+                vertx.runOnContext(ignored -> daemon.copy.close());
+            }
+        }
+        List<Daemon> others =
+                daemons.stream().filter(d -> !keepers.contains(d.entry)).toList();
+        vertx.runOnContext(ignored -> store.write("s/b", "2"));
+        until("all know", () -> {}, () -> others.stream()
+                .allMatch(d -> d.copy.items().size() == 2));
+        assertTrue(keepers.size() < FLEET);
+    }
+}
--- a/relay/src/test/java/org/endivehold/relay/state/FakeStore.java
+++ b/relay/src/test/java/org/endivehold/relay/state/FakeStore.java
@@ -62,6 +62,18 @@
         return ranges;
     }
 
+    /** Returns how many watches wait. */
+    int watches() {
+        return waiting.size();
+    }
+
+    /** Ends all watches that wait: their time is over and nothing has changed. */
+    void lapse() {
+        List<Waiting> all = new ArrayList<>(waiting);
+        waiting.clear();
+        all.forEach(each -> each.promise().complete(new Changes(List.of(), revision)));
+    }
+
     private void wake() {
         for (Waiting each : new ArrayList<>(waiting)) {
             Changes changes = changes(each.prefix(), each.after());
--- a/relay/src/test/java/org/endivehold/relay/state/WatchedPrefixTest.java
+++ b/relay/src/test/java/org/endivehold/relay/state/WatchedPrefixTest.java
@@ -1,6 +1,7 @@
 package org.endivehold.relay.state;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.vertx.core.Context;
@@ -9,6 +10,7 @@
 import io.vertx.core.buffer.Buffer;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -104,4 +106,57 @@
         run(() -> copy.offer(new SharedStore.Range(List.of(), known + 4), "stale peer"));
         assertEquals(1, copy.items().size());
     }
+
+    private static SharedStore.Changes written(String key, String value, long revision) {
+        SharedStore.Change change = new SharedStore.Change(key, revision, Optional.of(Buffer.buffer(value)));
+        return new SharedStore.Changes(List.of(change), revision);
+    }
+
+    /** Pattern: one daemon watches for many. */
+    @Test
+    void makesNoCallsWhileAnotherDaemonWatchesAndWatchesItselfAfterThat() throws Exception {
+        store.write("s/a", "1");
+        run(copy::start);
+        take(1);
+        long known = copy.revision();
+        run(() -> assertTrue(copy.vouched(known + 3, known, 0)));
+        run(store::lapse);
+        assertEquals(0, store.watches());
+        assertEquals(known + 3, copy.revision());
+        run(() -> assertTrue(copy.follow(written("s/b", "2", known + 5), known)));
+        assertEquals(List.of("+s/b=2"), take(1));
+        run(() -> {
+            for (int i = 0; i < 5; i++) {
+                store.write("other", "x");
+            }
+            store.write("s/c", "3");
+        });
+        assertEquals(List.of("+s/c=3"), take(1), "nobody vouches any more");
+    }
+
+    /** Pattern: a daemon that was away hears of the latest change only. */
+    @Test
+    void saysWhatIsMissing() throws Exception {
+        store.write("s/a", "1");
+        run(copy::start);
+        take(1);
+        long known = copy.revision();
+        run(() -> assertFalse(copy.vouched(known + 9, known + 4, 0)));
+        run(() -> assertFalse(copy.follow(written("s/b", "2", known + 9), known + 4)));
+        assertEquals(known, copy.revision());
+    }
+
+    /** Pattern: two daemons pass on the same changes, one of them late. */
+    @Test
+    void aLateReportOfWhatIsKnownChangesNothing() throws Exception {
+        store.write("s/a", "1");
+        run(copy::start);
+        take(1);
+        long known = copy.revision();
+        SharedStore.Change gone = new SharedStore.Change("s/a", known + 2, Optional.empty());
+        run(() -> copy.follow(new SharedStore.Changes(List.of(gone), known + 2), known));
+        run(() -> copy.follow(written("s/a", "old", known + 1), known));
+        assertEquals(List.of("-s/a"), take(1));
+        assertTrue(copy.items().isEmpty());
+    }
 }
