--- a/daemon/src/main/java/org/endivehold/daemon/Daemon.java
+++ b/daemon/src/main/java/org/endivehold/daemon/Daemon.java
@@ -22,6 +22,7 @@
 import org.endivehold.daemon.request.PlainCallService;
 import org.endivehold.daemon.request.TraceLog;
 import org.endivehold.daemon.settings.Settings;
+import org.endivehold.daemon.upstream.OrphanSweep;
 import org.endivehold.daemon.upstream.UpstreamService;
 import org.endivehold.error.ErrorManager;
 import org.endivehold.misc.Incarnation;
@@ -67,6 +68,7 @@
         kernel.add(new OperatorPort(context));
         kernel.add(new CapacityService(context));
         kernel.add(new UpstreamService(context));
+        kernel.add(new OrphanSweep(context));
         kernel.add(new LedgerService(context));
         kernel.add(new PlainCallService(context));
         kernel.add(new GenerationService(context));
--- a/daemon/src/main/java/org/endivehold/daemon/upstream/HttpEngine.java
+++ b/daemon/src/main/java/org/endivehold/daemon/upstream/HttpEngine.java
@@ -133,7 +133,7 @@
                 .onFailure(stream::unreachable);
     }
 
-    /** Cancels until confirmed or the attempts are spent; then the grantor finds the orphan. */
+    /** Cancels until confirmed or the attempts are spent; then the stream runs to its end there. */
     private void cancel(StreamId stream, int attempt) {
         control(HttpMethod.DELETE, EnginePaths.STREAMS + stream).onFailure(failure -> {
             if (attempt < MAX_CANCEL_ATTEMPTS) {
--- /dev/null
+++ b/daemon/src/main/java/org/endivehold/daemon/upstream/OrphanSweep.java
@@ -0,0 +1,147 @@
+package org.endivehold.daemon.upstream;
+
+import io.vertx.core.Future;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.endivehold.config.ConfigurationSnapshot;
+import org.endivehold.config.Upstream;
+import org.endivehold.daemon.DaemonContext;
+import org.endivehold.daemon.config.ActiveConfiguration;
+import org.endivehold.daemon.kernel.Kernel;
+import org.endivehold.daemon.kernel.Service;
+import org.endivehold.error.EndiveholdException;
+import org.endivehold.membership.LiveHosts;
+import org.endivehold.membership.Member;
+import org.endivehold.misc.LogEvent;
+import org.endivehold.misc.Rendezvous;
+import org.endivehold.misc.UpstreamName;
+import org.endivehold.upstream.CacheHandle;
+import org.endivehold.upstream.Engine;
+import org.endivehold.upstream.EngineLoad;
+import org.endivehold.upstream.OrphanFinder;
+import org.endivehold.upstream.StreamOwner;
+import org.jboss.logging.Logger;
+
+/**
+ * Releases what daemons that have ended left in the memory of engines. Each engine is looked at by the one daemon that
+ * rendezvous hashing picks; if two pick themselves for a while, a release that comes twice does no harm.
+ */
+public final class OrphanSweep implements Service {
+    /** Name of the service. */
+    public static final String NAME = "orphans";
+    /** Pause between two looks at the engines, in milliseconds; memory is lost for the grace and this at most. */
+    private static final long PERIOD_MILLIS = 5_000;
+
+    private static final Logger log = Logger.getLogger(OrphanSweep.class);
+
+    private final DaemonContext context;
+    private final OrphanFinder finder = new OrphanFinder();
+    private LiveHosts hosts;
+    private UpstreamDirectory upstreams;
+    private List<UpstreamName> engines = List.of();
+    private long timer;
+
+    /**
+     * Creates the service.
+     *
+     * @param context the daemon's context
+     */
+    public OrphanSweep(DaemonContext context) {
+        this.context = context;
+    }
+
+    @Override
+    public String name() {
+        return NAME;
+    }
+
+    @Override
+    public Set<String> needs() {
+        return Set.of(ActiveConfiguration.NAME, LiveHosts.NAME, UpstreamDirectory.NAME);
+    }
+
+    @Override
+    public Future<Void> start(Kernel kernel) {
+        try {
+            hosts = kernel.find(LiveHosts.NAME, LiveHosts.class);
+            upstreams = kernel.find(UpstreamDirectory.NAME, UpstreamDirectory.class);
+            kernel.find(ActiveConfiguration.NAME, ActiveConfiguration.class).listen(this::activated);
+        } catch (EndiveholdException e) {
+            return Future.failedFuture(e);
+        }
+        timer = context.vertx().setPeriodic(PERIOD_MILLIS, ignored -> sweep());
+        return Future.succeededFuture();
+    }
+
+    @Override
+    public Future<Void> stop() {
+        context.vertx().cancelTimer(timer);
+        return Future.succeededFuture();
+    }
+
+    private void activated(ConfigurationSnapshot snapshot) {
+        engines = snapshot.configuration().upstreams().values().stream()
+                .filter(upstream -> upstream.kind() == Upstream.Kind.ENGINE)
+                .map(Upstream::name)
+                .toList();
+    }
+
+    /** Looks at the engines that are this daemon's to look at. */
+    void sweep() {
+        String self = hosts.self().host().value();
+        List<String> others = new ArrayList<>();
+        hosts.others().forEach(member -> others.add(member.host().value()));
+        for (UpstreamName name : engines) {
+            if (Rendezvous.chosen(self, others, name.value(), 1)) {
+                look(name);
+            }
+        }
+    }
+
+    private void look(UpstreamName name) {
+        try {
+            Engine engine = upstreams.engine(name);
+            engine.load().whenComplete((load, failure) -> {
+                if (failure == null) {
+                    release(engine, name, load);
+                } else {
+                    skipped(name, failure);
+                }
+            });
+        } catch (EndiveholdException e) {
+            skipped(name, e);
+        }
+    }
+
+    private void release(Engine engine, UpstreamName name, EngineLoad load) {
+        long now = context.ticker().millis();
+        for (CacheHandle cache : finder.find(name, load, this::ended, now)) {
+            LogEvent.of("orphan-released")
+                    .with("upstream", name)
+                    .with("cache", cache.id())
+                    .with("tokens", cache.tokens())
+                    .info(log);
+            engine.release(cache).whenComplete((done, failure) -> {
+                if (failure != null) {
+                    skipped(name, failure);
+                }
+            });
+        }
+    }
+
+    /** A process has ended if its host is not registered, or with another process. */
+    private boolean ended(StreamOwner owner) {
+        return hosts.member(owner.host())
+                .map(Member::incarnation)
+                .filter(owner.incarnation()::equals)
+                .isEmpty();
+    }
+
+    private static void skipped(UpstreamName name, Throwable failure) {
+        LogEvent.of("orphans-not-read")
+                .with("upstream", name)
+                .with("reason", failure.getMessage())
+                .info(log);
+    }
+}
