Bound the lines of each kind of event, and count what is left out

Cause: a storm of one kind of event, such as 500 requests a second that end, wrote a line for each.

Writing itself stays synchronous: an asynchronous handler was weighed and not taken, since its last lines get lost when the process ends.

--- a/core/src/main/java/org/endivehold/misc/LogEvent.java
+++ b/core/src/main/java/org/endivehold/misc/LogEvent.java
@@ -6,12 +6,19 @@
 /**
  * One event as a line of key=value pairs. Values with spaces or quotes are quoted; control characters are replaced.
  *
+ * <p>Lines of one kind are bounded in a second; how many were left out is told with the next one ({@link LogLimit}).
+ *
  * <p>Example: {@code LogEvent.of("stream-ended").with("request", id).with("tokens", 12).info(log)}.
  */
 public final class LogEvent {
+    private static final LogLimit LIMIT = new LogLimit();
+    private static final Ticker TICKER = Ticker.system();
+
+    private final String event;
     private final StringBuilder line = new StringBuilder("event=");
 
     private LogEvent(String event) {
+        this.event = event;
         line.append(event);
     }
 
@@ -43,7 +50,7 @@
      * @param log the logger
      */
     public void info(Logger log) {
-        log.info(line);
+        write(log, Logger.Level.INFO);
     }
 
     /**
@@ -52,7 +59,7 @@
      * @param log the logger
      */
     public void warn(Logger log) {
-        log.warn(line);
+        write(log, Logger.Level.WARN);
     }
 
     /**
@@ -61,7 +68,20 @@
      * @param log the logger
      */
     public void debug(Logger log) {
-        log.debug(line);
+        write(log, Logger.Level.DEBUG);
+    }
+
+    private void write(Logger log, Logger.Level level) {
+        if (!log.isEnabled(level)) {
+            return;
+        }
+        LogLimit.Verdict verdict = LIMIT.ask(event, TICKER.millis());
+        if (verdict.droppedBefore() > 0) {
+            log.log(level, "event=lines-dropped kind=" + event + " count=" + verdict.droppedBefore());
+        }
+        if (verdict.write()) {
+            log.log(level, line);
+        }
     }
 
     @Override
