--- a/daemon/src/main/java/org/endivehold/daemon/request/CacheEventReader.java
+++ b/daemon/src/main/java/org/endivehold/daemon/request/CacheEventReader.java
@@ -2,8 +2,10 @@
 
 import java.util.List;
 import org.endivehold.error.EndiveholdException;
+import org.endivehold.misc.LogEvent;
 import org.endivehold.misc.UpstreamName;
 import org.endivehold.upstream.CacheEvent;
+import org.jboss.logging.Logger;
 
 /**
  * Reads the cache events of one engine per period, in turn, so that the cost to a daemon does not grow with the fleet.
@@ -12,6 +14,8 @@
     /** Time between two reads, in milliseconds. */
     static final long PERIOD_MILLIS = 500;
 
+    private static final Logger log = Logger.getLogger(CacheEventReader.class);
+
     private final GenerationResources resources;
     private final EngineSelector selector;
     private int next;
@@ -41,16 +45,21 @@
                     .upstreams()
                     .engine(name)
                     .cacheEvents(selector.prefixes().lastEvent(name))
-                    .whenComplete((events, failure) -> read(name, events));
+                    .whenComplete((events, failure) -> read(name, events, failure));
         } catch (EndiveholdException e) {
-            reading = false;
+            read(name, null, e);
         }
     }
 
-    private void read(UpstreamName name, List<CacheEvent> events) {
+    private void read(UpstreamName name, List<CacheEvent> events, Throwable failure) {
         reading = false;
         if (events != null) {
             selector.prefixes().events(name, events);
+        } else {
+            LogEvent.of("cache-events-not-read")
+                    .with("upstream", name)
+                    .with("reason", failure == null ? null : failure.getMessage())
+                    .debug(log);
         }
     }
 }
