--- a/relay/src/main/java/org/endivehold/relay/schedule/SharedScheduler.java
+++ b/relay/src/main/java/org/endivehold/relay/schedule/SharedScheduler.java
@@ -137,7 +137,11 @@
         local.withdrawAll(daemon);
     }
 
-    /** Takes what another daemon asked or answered; returns whether it was about decisions. */
+    /**
+     * Takes what another daemon asked or answered.
+     *
+     * @return whether nobody else has to hear of it; the end of a request also concerns the account of engines
+     */
     public boolean told(String daemon, PeerMessage message) {
         if (message instanceof PeerMessage.EnginesWanted wanted) {
             wanted(daemon, wanted.request());
@@ -146,20 +150,17 @@
         } else if (message instanceof PeerMessage.EnginesChosen chosen) {
             chosen(daemon, chosen);
         } else if (message instanceof PeerMessage.EnginesRefused refused) {
-            Asked entry = forget(refused.id());
-            if (entry != null) {
-                entry.listener.refused(refused.retryAfterMillis());
-            }
+            refused(refused);
+        } else if (message instanceof PeerMessage.JobEnded ended) {
+            local.withdraw(ended.id());
+            return false;
         } else {
-            if (message instanceof PeerMessage.JobEnded ended) {
-                local.withdraw(ended.id());
-            }
             return false;
         }
         return true;
     }
 
-    /** Another daemon wants engines. */
+    /** Another daemon wants engines; what was placed for it already is in the account, and its answer under way. */
     private void wanted(String daemon, EngineRequest request) {
         JobId id = request.id();
         if (engines.board().knows(id)) {
@@ -194,6 +195,14 @@
         }
     }
 
+    private void refused(PeerMessage.EnginesRefused refused) {
+        Asked entry = forget(refused.id());
+        if (entry != null) {
+            entry.listener.refused(refused.retryAfterMillis());
+        }
+    }
+
+    /** Engines were chosen; if the request has ended or was placed otherwise meanwhile, the choice is given back. */
     private void chosen(String daemon, PeerMessage.EnginesChosen chosen) {
         Asked entry = forget(chosen.job().id());
         if (entry == null) {
