A daemon that is not registered itself releases nobody's memory

Cause: OrphanSweep took every owner that is not listed as ended. A daemon that starts while the key-value service is out lists itself alone, and would have released the caches of living daemons after 15 s. Found by reading the change once more.

Ruled out: a longer grace, since an outage has no bound.

--- a/core/src/main/java/org/endivehold/membership/LiveHosts.java
+++ b/core/src/main/java/org/endivehold/membership/LiveHosts.java
@@ -26,6 +26,13 @@
      */
     Collection<Member> members();
 
+    /**
+     * Tells whether this daemon is registered itself. Until then the others are unknown: who is missing may live.
+     *
+     * @return whether the service has taken its entry
+     */
+    boolean registered();
+
     /**
      * Returns the other registered daemons.
      *
--- a/daemon/src/main/java/org/endivehold/daemon/membership/HostRegistry.java
+++ b/daemon/src/main/java/org/endivehold/daemon/membership/HostRegistry.java
@@ -128,6 +128,11 @@
         return List.copyOf(members.values());
     }
 
+    @Override
+    public boolean registered() {
+        return lease.isPresent();
+    }
+
     @Override
     public void listen(MemberListener listener) {
         listeners.add(listener);
--- a/daemon/src/main/java/org/endivehold/daemon/upstream/OrphanSweep.java
+++ b/daemon/src/main/java/org/endivehold/daemon/upstream/OrphanSweep.java
@@ -87,8 +87,11 @@
                 .toList();
     }
 
-    /** Looks at the engines that are this daemon's to look at. */
+    /** Looks at the engines that are this daemon's to look at; at none while the other daemons are unknown. */
     void sweep() {
+        if (!hosts.registered()) {
+            return;
+        }
         String self = hosts.self().host().value();
         List<String> others = new ArrayList<>();
         hosts.others().forEach(member -> others.add(member.host().value()));
--- a/daemon/src/test/java/org/endivehold/daemon/upstream/OrphanSweepTest.java
+++ b/daemon/src/test/java/org/endivehold/daemon/upstream/OrphanSweepTest.java
@@ -56,6 +56,7 @@
     private final List<String> released = new ArrayList<>();
     private final List<EngineLoad.HeldCache> caches = new ArrayList<>();
     private final List<Member> members = new ArrayList<>(List.of(SELF));
+    private boolean registered = true;
     private long now;
     private OrphanSweep sweep;
 
@@ -106,6 +107,18 @@
         assertEquals(List.of("before", "dead"), released.stream().sorted().toList());
     }
 
+    /** Pattern: a daemon starts while the key-value service is out, and knows nobody. */
+    @Test
+    void aDaemonThatKnowsNobodyReleasesNothing() {
+        registered = false;
+        held("of-a-living-one", "unknown", 1);
+        sweepTwice();
+        assertEquals(List.of(), released);
+        registered = true;
+        sweep.sweep();
+        assertEquals(List.of(), released, "the grace begins with the entry");
+    }
+
     /** Pattern: many daemons; each engine is asked by one of them. */
     @Test
     void oneDaemonLooksAtEachEngine() {
@@ -171,6 +184,11 @@
             return members;
         }
 
+        @Override
+        public boolean registered() {
+            return registered;
+        }
+
         @Override
         public void listen(MemberListener listener) {}
     }
