--- a/daemon/src/main/java/org/endivehold/daemon/peer/PeerLink.java
+++ b/daemon/src/main/java/org/endivehold/daemon/peer/PeerLink.java
@@ -62,16 +62,25 @@
         this.backoff = backoff;
     }
 
-    /** Sets the address of the peer; a change closes the current connection. */
+    /** Sets the address of the peer; a change closes the current connection, and the new address is dialed at once. */
     void address(PeerAddress next) {
         if (next.equals(address)) {
             return;
         }
         address = next;
+        abandonConnection();
         resetBackoff();
-        if (connection != null) {
-            connection.close();
+    }
+
+    /** Closes the current connection; its end, which is reported later, no longer delays the next dial. */
+    private void abandonConnection() {
+        if (connection == null) {
+            return;
         }
+        PeerConnection abandoned = connection;
+        connection = null;
+        abandoned.close();
+        failAll();
     }
 
     /** Allows dialing at once, because the peer is known to be up. */
--- a/daemon/src/test/java/org/endivehold/daemon/peer/TcpPeerTransportTest.java
+++ b/daemon/src/test/java/org/endivehold/daemon/peer/TcpPeerTransportTest.java
@@ -126,6 +126,20 @@
         assertEquals(hello("a.two"), requestUntilReachable(a, B, "two"));
     }
 
+    /** The end of the old connection once delayed the first dial to the new address. */
+    @Test
+    void anAddressChangeUnderAnOpenConnectionDialsTheNewAddressAtOnce() {
+        TcpPeerTransport a = start("a", Optional.empty());
+        TcpPeerTransport before = start("b", Optional.empty());
+        TcpPeerTransport after = start("b", Optional.empty());
+        handleWithEcho(before);
+        handleWithEcho(after);
+        connect(a, B, before);
+        request(a, B, "one");
+        connect(a, B, after);
+        assertEquals(hello("a.two"), request(a, B, "two"));
+    }
+
     @Test
     void mutualTlsAdmitsOnlySignedPeers() throws Exception {
         TcpPeerTransport a = start("a", Optional.of(tls("a")));
