--- a/daemon/src/main/java/org/endivehold/daemon/entry/EntryDaemon.java
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/EntryDaemon.java
@@ -15,6 +15,7 @@
 import org.endivehold.relay.RelaySettings;
 import org.endivehold.relay.limit.ColdLimit;
 import org.endivehold.relay.limit.RetryShare;
+import org.endivehold.relay.limit.UpstreamAvailability;
 import org.endivehold.relay.limit.UpstreamHealth;
 import org.endivehold.relay.peer.CopyExchange;
 import org.endivehold.relay.peer.DaemonDirectory;
@@ -24,6 +25,7 @@
 import org.endivehold.relay.schedule.JobReplicator;
 import org.endivehold.relay.schedule.LocalScheduler;
 import org.endivehold.relay.schedule.SharedScheduler;
+import org.endivehold.relay.serve.AvailabilityRecorder;
 import org.endivehold.relay.serve.CallerServer;
 import org.endivehold.relay.serve.Dialect;
 import org.endivehold.relay.serve.EngineMemoryClient;
@@ -53,6 +55,7 @@
     private final FleetState fleet;
     private final JobReplicator jobReplicator;
     private final UpstreamHealth health = new UpstreamHealth();
+    private final UpstreamAvailability availability = new UpstreamAvailability(health);
     private final Registration registration;
     private final CallerServer callers;
     private final StatusServer status;
@@ -80,19 +83,22 @@
         long startedAtMillis = System.currentTimeMillis();
         self = settings.name() + "#" + startedAtMillis;
         UniformRandomProvider random = RandomSource.SPLIT_MIX_64.create(startedAtMillis ^ self.hashCode());
-        fleet = new FleetState(decoder, ticker, this::sinceOutageMillis);
+        fleet = new FleetState(decoder, ticker, availability, this::sinceOutageMillis, this::sinceRestoreMillis);
         operatorEntries = new WatchedPrefix(vertx, store, decoder.operatorPrefix(), ticker, random, fleet);
         upstreamEntries = new WatchedPrefix(vertx, store, decoder.upstreamPrefix(), ticker, random, fleet);
         DaemonEntry entry = new DaemonEntry(
                 self, settings.peers().host(), settings.peers().port(), settings.zone(), settings.capacity());
         jobReplicator = new JobReplicator(ticker, self, this::sendToPeers);
-        PeerMessageDispatcher dispatcher = new PeerMessageDispatcher(jobReplicator, health, ticker);
+        PeerMessageDispatcher dispatcher = new PeerMessageDispatcher(jobReplicator, health, fleet, ticker);
         DaemonDirectory directory = new DaemonDirectory(entry);
         mesh = new PeerMesh(vertx, ticker, directory, dispatcher);
         copyExchange = new CopyExchange(directory, List.of(operatorEntries, upstreamEntries), mesh);
         LocalScheduler local = new LocalScheduler(vertx, ticker, random, fleet, health, jobReplicator);
         SharedScheduler scheduler = new SharedScheduler(vertx, ticker, self, local, jobReplicator, mesh);
-        dispatcher.setReceivers(scheduler, copyExchange);
+        dispatcher.setReceivers(scheduler, copyExchange, mesh);
+        AvailabilityRecorder recorder =
+                new AvailabilityRecorder(fleet::markLeaving, availability, ticker, this::sendToPeers);
+        orders.onAnswer(recorder);
         registration = new Registration(vertx, store, decoder.daemonPrefix(), entry, settings, mesh);
         PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
         RelayBounds bounds = settings.bounds();
@@ -107,6 +113,8 @@
                 jobReplicator,
                 scheduler,
                 health,
+                availability,
+                recorder,
                 new ColdLimit(self),
                 new RetryShare(bounds.retryRatio(), bounds.retrySlack(), bounds.retryWindowMillis()),
                 new MeshDaemonCount(directory),
@@ -186,6 +194,7 @@
         jobReplicator.tracker().expire((double) ticker.millis(), self);
         jobReplicator.tracker().retain(fleet.upstreamIds());
         health.retain(fleet.upstreamIds());
+        availability.retain(fleet.upstreamIds());
         copyExchange.requestNewerCopies();
     }
 
@@ -193,6 +202,10 @@
         return upstreamEntries.outageMillis() > 0 ? 0 : upstreamEntries.sinceOutageMillis();
     }
 
+    private double sinceRestoreMillis() {
+        return operatorEntries.sinceRestoreMillis();
+    }
+
     private Future<Void> runOnEventLoop(Supplier<Future<Void>> step) {
         Promise<Void> promise = Promise.promise();
         vertx.runOnContext(ignored -> step.get().onComplete(promise));
--- a/daemon/src/main/java/org/endivehold/daemon/entry/EntryTool.java
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/EntryTool.java
@@ -57,7 +57,7 @@
                 new PlatformStoreClient(vertx, settings.store()),
                 new StoreEntries(),
                 new HeaderNames(),
-                new OrderClient(vertx));
+                new OrderClient(vertx, new HeaderNames()));
         long graceMillis = settings.bounds().graceMillis();
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon, graceMillis), "stop"));
         HangupSignal.handle(() -> reload(daemon, file));
--- a/daemon/src/main/java/org/endivehold/daemon/entry/PeerMessageDispatcher.java
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/PeerMessageDispatcher.java
@@ -6,31 +6,38 @@
 import org.endivehold.relay.limit.UpstreamHealth;
 import org.endivehold.relay.peer.CopyExchange;
 import org.endivehold.relay.peer.PeerListener;
+import org.endivehold.relay.peer.PeerMesh;
 import org.endivehold.relay.peer.PeerMessage;
 import org.endivehold.relay.schedule.JobReplicator;
 import org.endivehold.relay.schedule.SharedScheduler;
+import org.endivehold.relay.state.FleetState;
+import org.endivehold.relay.state.StorePosition;
 
 /** Dispatches the messages of other daemons to the components that handle them. */
 final class PeerMessageDispatcher implements PeerListener {
     private final JobReplicator engines;
     private final UpstreamHealth health;
+    private final FleetState fleet;
     private final Ticker ticker;
     private SharedScheduler scheduler;
     private CopyExchange copies;
+    private PeerMesh mesh;
 
-    PeerMessageDispatcher(JobReplicator engines, UpstreamHealth health, Ticker ticker) {
+    PeerMessageDispatcher(JobReplicator engines, UpstreamHealth health, FleetState fleet, Ticker ticker) {
         this.engines = engines;
         this.health = health;
+        this.fleet = fleet;
         this.ticker = ticker;
     }
 
     /**
-     * Sets the scheduler and the exchange of store copies. They cannot be constructor parameters, since both need the
-     * connections to other daemons, which need this dispatcher.
+     * Sets the scheduler, the exchange of store copies and the connections to other daemons. They cannot be constructor
+     * parameters, since the connections need this dispatcher, and the others need the connections.
      */
-    void setReceivers(SharedScheduler schedulerValue, CopyExchange copiesValue) {
+    void setReceivers(SharedScheduler schedulerValue, CopyExchange copiesValue, PeerMesh meshValue) {
         scheduler = schedulerValue;
         copies = copiesValue;
+        mesh = meshValue;
     }
 
     @Override
@@ -50,6 +57,15 @@
             health.eject(failed.upstream(), now + failed.ejectionMillis(), now);
         } else if (message instanceof PeerMessage.UpstreamObserved observed) {
             upstreamObserved(observed, (double) ticker.millis());
+        } else if (message instanceof PeerMessage.UpstreamLeaving leaving) {
+            upstreamLeaving(leaving);
+        }
+    }
+
+    /** Passes news on: in a large fleet, the sender is connected to the coordinators only. */
+    private void upstreamLeaving(PeerMessage.UpstreamLeaving leaving) {
+        if (fleet.markLeaving(leaving.upstream(), leaving.startedAtMillis())) {
+            mesh.broadcastInbound(leaving);
         }
     }
 
@@ -78,7 +94,7 @@
     }
 
     @Override
-    public Optional<PeerMessage.Copy> copy(String prefix, long newerThan) {
+    public Optional<PeerMessage.Copy> copy(String prefix, StorePosition newerThan) {
         return copies.copy(prefix, newerThan);
     }
 }
--- a/daemon/src/main/java/org/endivehold/daemon/entry/Registration.java
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/Registration.java
@@ -13,6 +13,7 @@
 import org.endivehold.relay.peer.DaemonEntry;
 import org.endivehold.relay.peer.PeerMesh;
 import org.endivehold.relay.state.SharedStore;
+import org.endivehold.relay.state.StoreLease;
 import org.jboss.logging.Logger;
 
 /** Registers this daemon in the store under a lease, and discovers the other registered daemons. */
@@ -42,7 +43,7 @@
     private final DaemonEntry self;
     private final RelaySettings settings;
     private final PeerMesh mesh;
-    private long lease;
+    private Optional<StoreLease> lease = Optional.empty();
     private boolean ended;
 
     Registration(
@@ -62,7 +63,7 @@
 
     Future<Void> end() {
         ended = true;
-        return lease == 0 ? Future.succeededFuture() : store.revokeLease(lease).otherwiseEmpty();
+        return lease.map(held -> store.revokeLease(held).otherwiseEmpty()).orElse(Future.succeededFuture());
     }
 
     private void register() {
@@ -80,10 +81,13 @@
                 .compose(granted ->
                         store.put(prefix + self.name(), value, granted).map(granted))
                 .onSuccess(granted -> {
-                    lease = granted;
-                    LogEvent.of("daemon-registered").with("lease", lease).info(log);
+                    lease = Optional.of(granted);
+                    LogEvent.of("daemon-registered")
+                            .with("lease", granted.id())
+                            .with("era", granted.era())
+                            .info(log);
                     discoverDaemons();
-                    renewLater();
+                    renewLater(granted);
                 })
                 .onFailure(failure -> {
                     LogEvent.of("daemon-not-registered")
@@ -93,20 +97,20 @@
                 });
     }
 
-    private void renewLater() {
+    private void renewLater(StoreLease held) {
         vertx.setTimer(RENEW_INTERVAL_MILLIS, timer -> {
             if (ended) {
                 return;
             }
-            store.renewLease(lease).onSuccess(kept -> renewLater()).onFailure(failure -> {
+            store.renewLease(held).onSuccess(kept -> renewLater(held)).onFailure(failure -> {
                 LogEvent.of("lease-not-renewed")
-                        .with("lease", lease)
+                        .with("lease", held.id())
                         .with("reason", failure.getMessage())
                         .warn(log);
                 if (failure instanceof EndiveholdException e && e.type() == ErrorType.LEASE_LOST) {
                     register();
                 } else {
-                    renewLater();
+                    renewLater(held);
                 }
             });
         });
--- a/daemon/src/main/java/org/endivehold/daemon/entry/WarmUp.java
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/WarmUp.java
@@ -55,7 +55,7 @@
                 new PlatformStoreClient(vertx, closedPort),
                 new StoreEntries(),
                 new HeaderNames(),
-                new OrderClient(vertx));
+                new OrderClient(vertx, new HeaderNames()));
         Future<Void> done = daemon.start()
                 .compose(started -> vertx.createHttpServer()
                         .requestHandler(request -> request.response().end("warm"))
--- a/relay/src/main/java/org/endivehold/relay/peer/CopyExchange.java
+++ b/relay/src/main/java/org/endivehold/relay/peer/CopyExchange.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.endivehold.relay.state.SharedStore;
+import org.endivehold.relay.state.StorePosition;
 import org.endivehold.relay.state.WatchedPrefix;
 
 /**
@@ -13,7 +14,7 @@
  * daemons. In a large fleet only the coordinators watch ({@link DaemonDirectory}). They forward each change at once and
  * announce periodically that their copies are current, as long as the store confirms it. The other daemons make no
  * store calls while they receive these announcements. Correctness does not depend on which daemons watch: a daemon that
- * misses two announcements starts its own watch, and changes are ordered by revision, regardless of the sender.
+ * misses two announcements starts its own watch, and changes are ordered by position, regardless of the sender.
  * Example: 60 daemons with two prefixes make 6 watch calls every 2.5 s instead of 120.
  *
  * <p>A daemon that cannot reach the store requests newer copies from other daemons.
@@ -54,7 +55,7 @@
     public void requestNewerCopies() {
         for (WatchedPrefix copy : copies) {
             if (copy.outageMillis() > COPY_REQUEST_AFTER_MILLIS) {
-                mesh.requestCopy(new PeerMessage.CopyRequest(copy.prefix(), copy.revision()), nextPeer++);
+                mesh.requestCopy(new PeerMessage.CopyRequest(copy.prefix(), copy.position()), nextPeer++);
             }
         }
     }
@@ -64,7 +65,7 @@
         if (message instanceof PeerMessage.Copy theirs) {
             copy(theirs.prefix())
                     .ifPresent(mine ->
-                            mine.replaceIfNewer(new SharedStore.Range(theirs.items(), theirs.revision()), daemon));
+                            mine.replaceIfNewer(new SharedStore.Range(theirs.items(), theirs.position()), daemon));
         } else if (message instanceof PeerMessage.CopyCurrent theirs) {
             confirm(daemon, theirs);
         } else if (message instanceof PeerMessage.CopyChanged theirs) {
@@ -82,16 +83,16 @@
         if (!isWatcher()) {
             copy(theirs.prefix())
                     .filter(mine ->
-                            !mine.confirmByPeer(theirs.revision(), theirs.changedAt(), theirs.sinceOutageMillis()))
+                            !mine.confirmByPeer(theirs.position(), theirs.changedAt(), theirs.sinceOutageMillis()))
                     .ifPresent(mine -> requestCopy(daemon, mine));
         }
     }
 
-    /** Returns this daemon's copy of a prefix if its revision is greater than {@code newerThan}. */
-    public Optional<PeerMessage.Copy> copy(String prefix, long newerThan) {
+    /** Returns this daemon's copy of a prefix if it is newer than {@code newerThan}. */
+    public Optional<PeerMessage.Copy> copy(String prefix, StorePosition newerThan) {
         return copy(prefix)
-                .filter(mine -> mine.revision() > newerThan)
-                .map(mine -> new PeerMessage.Copy(prefix, mine.revision(), mine.items()));
+                .filter(mine -> mine.position().isAfter(newerThan))
+                .map(mine -> new PeerMessage.Copy(prefix, mine.position(), mine.items()));
     }
 
     private Optional<WatchedPrefix> copy(String prefix) {
@@ -99,7 +100,7 @@
     }
 
     private void requestCopy(String daemon, WatchedPrefix mine) {
-        mesh.send(daemon, new PeerMessage.CopyRequest(mine.prefix(), mine.revision()));
+        mesh.send(daemon, new PeerMessage.CopyRequest(mine.prefix(), mine.position()));
     }
 
     /** Returns whether this daemon watches the store for others: it is a coordinator of a large fleet. */
@@ -107,7 +108,7 @@
         return !directory.usesFullMesh() && directory.coordinators().contains(directory.self());
     }
 
-    private void forwardChanges(WatchedPrefix copy, SharedStore.Changes changes, long after) {
+    private void forwardChanges(WatchedPrefix copy, SharedStore.Changes changes, StorePosition after) {
         if (isWatcher()) {
             mesh.broadcastInbound(new PeerMessage.CopyChanged(copy.prefix(), after, changes));
         }
@@ -118,7 +119,7 @@
             for (WatchedPrefix copy : copies) {
                 if (copy.confirmed()) {
                     mesh.broadcastInbound(new PeerMessage.CopyCurrent(
-                            copy.prefix(), copy.revision(), copy.changedAt(), copy.sinceOutageMillis()));
+                            copy.prefix(), copy.position(), copy.changedAt(), copy.sinceOutageMillis()));
                 }
             }
         }
--- a/relay/src/main/java/org/endivehold/relay/peer/InboundPeer.java
+++ b/relay/src/main/java/org/endivehold/relay/peer/InboundPeer.java
@@ -60,7 +60,7 @@
             mesh.peerAlive(daemon);
             send(List.of(ping));
         } else if (message instanceof PeerMessage.CopyRequest request) {
-            listener.copy(request.prefix(), request.revision()).ifPresent(copy -> send(List.of(copy)));
+            listener.copy(request.prefix(), request.position()).ifPresent(copy -> send(List.of(copy)));
         } else if (message instanceof PeerMessage.Bye) {
             mesh.peerStopping(daemon);
             closed();
--- a/relay/src/main/java/org/endivehold/relay/peer/PeerCodec.java
+++ b/relay/src/main/java/org/endivehold/relay/peer/PeerCodec.java
@@ -25,8 +25,6 @@
     private static final int JOB_DECODING = 3;
     private static final int JOB_ENDED = 4;
     private static final int UPSTREAM_FAILED = 5;
-    private static final int COPY_REQUEST = 6;
-    private static final int COPY = 7;
     private static final int PING = 8;
     private static final int BYE = 9;
     private static final int MEMBERS = 10;
@@ -35,8 +33,12 @@
     private static final int PLACEMENT_CHOSEN = 13;
     private static final int PLACEMENT_REFUSED = 14;
     private static final int UPSTREAM_OBSERVED = 15;
-    private static final int COPY_CURRENT = 16;
-    private static final int COPY_CHANGED = 17;
+    // 6, 7, 16 and 17 are not reused: they had revisions without an era.
+    private static final int COPY_REQUEST = 18;
+    private static final int COPY = 19;
+    private static final int COPY_CURRENT = 20;
+    private static final int COPY_CHANGED = 21;
+    private static final int UPSTREAM_LEAVING = 22;
 
     private PeerCodec() {}
 
@@ -64,18 +66,24 @@
         } else if (message instanceof PeerMessage.Copy copy) {
             PeerFields.pack(packer.packInt(COPY), copy);
         } else if (message instanceof PeerMessage.CopyRequest request) {
-            packer.packInt(COPY_REQUEST).packString(request.prefix()).packLong(request.revision());
+            packer.packInt(COPY_REQUEST).packString(request.prefix());
+            PeerFields.pack(packer, request.position());
         } else if (message instanceof PeerMessage.CopyCurrent current) {
-            packer.packInt(COPY_CURRENT).packString(current.prefix()).packLong(current.revision());
-            packer.packLong(current.changedAt()).packDouble(current.sinceOutageMillis());
+            packer.packInt(COPY_CURRENT).packString(current.prefix());
+            PeerFields.pack(packer, current.position());
+            PeerFields.pack(packer, current.changedAt());
+            packer.packDouble(current.sinceOutageMillis());
         } else if (message instanceof PeerMessage.CopyChanged changed) {
-            packer.packInt(COPY_CHANGED).packString(changed.prefix()).packLong(changed.after());
+            packer.packInt(COPY_CHANGED).packString(changed.prefix());
+            PeerFields.pack(packer, changed.after());
             PeerFields.pack(packer, changed.changes());
         } else if (message instanceof PeerMessage.UpstreamFailed failed) {
             packer.packInt(UPSTREAM_FAILED).packString(failed.upstream()).packInt(failed.ejectionMillis());
         } else if (message instanceof PeerMessage.UpstreamObserved observed) {
             packer.packInt(UPSTREAM_OBSERVED).packString(observed.upstream());
             packer.packBoolean(observed.failed()).packDouble(observed.slowdown());
+        } else if (message instanceof PeerMessage.UpstreamLeaving leaving) {
+            packer.packInt(UPSTREAM_LEAVING).packString(leaving.upstream()).packLong(leaving.startedAtMillis());
         } else if (message instanceof PeerMessage.Bye) {
             packer.packInt(BYE);
         } else if (message instanceof PeerMessage.Ping) {
@@ -132,17 +140,21 @@
             case HELLO -> new PeerMessage.Hello(PeerFields.daemon(unpacker));
             case MEMBERS -> PeerFields.members(unpacker);
             case COPY -> PeerFields.copy(unpacker);
-            case COPY_REQUEST -> new PeerMessage.CopyRequest(unpacker.unpackString(), unpacker.unpackLong());
+            case COPY_REQUEST -> new PeerMessage.CopyRequest(unpacker.unpackString(), PeerFields.position(unpacker));
             case COPY_CURRENT ->
                 new PeerMessage.CopyCurrent(
-                        unpacker.unpackString(), unpacker.unpackLong(), unpacker.unpackLong(), unpacker.unpackDouble());
+                        unpacker.unpackString(),
+                        PeerFields.position(unpacker),
+                        PeerFields.position(unpacker),
+                        unpacker.unpackDouble());
             case COPY_CHANGED ->
                 new PeerMessage.CopyChanged(
-                        unpacker.unpackString(), unpacker.unpackLong(), PeerFields.changes(unpacker));
+                        unpacker.unpackString(), PeerFields.position(unpacker), PeerFields.changes(unpacker));
             case UPSTREAM_FAILED -> new PeerMessage.UpstreamFailed(unpacker.unpackString(), unpacker.unpackInt());
             case UPSTREAM_OBSERVED ->
                 new PeerMessage.UpstreamObserved(
                         unpacker.unpackString(), unpacker.unpackBoolean(), unpacker.unpackDouble());
+            case UPSTREAM_LEAVING -> new PeerMessage.UpstreamLeaving(unpacker.unpackString(), unpacker.unpackLong());
             case PING -> new PeerMessage.Ping();
             case BYE -> new PeerMessage.Bye();
             default -> unpackScheduling(type, unpacker);
--- a/relay/src/main/java/org/endivehold/relay/peer/PeerFields.java
+++ b/relay/src/main/java/org/endivehold/relay/peer/PeerFields.java
@@ -14,6 +14,7 @@
 import org.endivehold.relay.engine.PromptNeed;
 import org.endivehold.relay.schedule.EngineRequest;
 import org.endivehold.relay.state.SharedStore;
+import org.endivehold.relay.state.StorePosition;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
 
@@ -146,32 +147,44 @@
                 unpacker.unpackDouble());
     }
 
+    static void pack(MessagePacker packer, StorePosition position) throws IOException {
+        packer.packLong(position.era()).packLong(position.revision());
+    }
+
+    static StorePosition position(MessageUnpacker unpacker) throws IOException {
+        return new StorePosition(unpacker.unpackLong(), unpacker.unpackLong());
+    }
+
+    /** Packs a copy; all its items are of the era of its position. */
     static void pack(MessagePacker packer, PeerMessage.Copy copy) throws IOException {
-        packer.packString(copy.prefix()).packLong(copy.revision());
+        packer.packString(copy.prefix());
+        pack(packer, copy.position());
         packer.packArrayHeader(copy.items().size());
         for (SharedStore.Item item : copy.items()) {
-            packer.packString(item.key()).packLong(item.revision());
+            packer.packString(item.key()).packLong(item.position().revision());
             pack(packer, item.value());
         }
     }
 
     static PeerMessage.Copy copy(MessageUnpacker unpacker) throws IOException {
         String prefix = unpacker.unpackString();
-        long revision = unpacker.unpackLong();
+        StorePosition position = position(unpacker);
         int count = unpacker.unpackArrayHeader();
         List<SharedStore.Item> items = new ArrayList<>();
         for (int i = 0; i < count; i++) {
             String key = unpacker.unpackString();
-            long itemRevision = unpacker.unpackLong();
-            items.add(new SharedStore.Item(key, binary(unpacker), itemRevision));
+            StorePosition changedAt = new StorePosition(position.era(), unpacker.unpackLong());
+            items.add(new SharedStore.Item(key, binary(unpacker), changedAt));
         }
-        return new PeerMessage.Copy(prefix, revision, items);
+        return new PeerMessage.Copy(prefix, position, items);
     }
 
+    /** Packs changes; all of them are of the era of their position. */
     static void pack(MessagePacker packer, SharedStore.Changes changes) throws IOException {
-        packer.packLong(changes.revision()).packArrayHeader(changes.changes().size());
+        pack(packer, changes.position());
+        packer.packArrayHeader(changes.changes().size());
         for (SharedStore.Change change : changes.changes()) {
-            packer.packString(change.key()).packLong(change.revision());
+            packer.packString(change.key()).packLong(change.position().revision());
             packer.packBoolean(change.value().isPresent());
             if (change.value().isPresent()) {
                 pack(packer, change.value().get());
@@ -180,16 +193,16 @@
     }
 
     static SharedStore.Changes changes(MessageUnpacker unpacker) throws IOException {
-        long revision = unpacker.unpackLong();
+        StorePosition position = position(unpacker);
         int count = unpacker.unpackArrayHeader();
         List<SharedStore.Change> changes = new ArrayList<>();
         for (int i = 0; i < count; i++) {
             String key = unpacker.unpackString();
-            long changeRevision = unpacker.unpackLong();
+            StorePosition changedAt = new StorePosition(position.era(), unpacker.unpackLong());
             Optional<Buffer> value = unpacker.unpackBoolean() ? Optional.of(binary(unpacker)) : Optional.empty();
-            changes.add(new SharedStore.Change(key, changeRevision, value));
+            changes.add(new SharedStore.Change(key, changedAt, value));
         }
-        return new SharedStore.Changes(changes, revision);
+        return new SharedStore.Changes(changes, position);
     }
 
     private static void pack(MessagePacker packer, Buffer value) throws IOException {
--- a/relay/src/main/java/org/endivehold/relay/peer/PeerListener.java
+++ b/relay/src/main/java/org/endivehold/relay/peer/PeerListener.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.endivehold.relay.state.StorePosition;
 
 /** Receives messages and connection events of other daemons. */
 public interface PeerListener {
@@ -17,6 +18,6 @@
     /** Returns the messages that are sent first on each new outbound connection, after {@code Hello}. */
     List<PeerMessage> initialMessages();
 
-    /** Returns the copy of the store's items with a prefix if its revision is greater than {@code newerThan}. */
-    Optional<PeerMessage.Copy> copy(String prefix, long newerThan);
+    /** Returns the copy of the store's items with a prefix if it is newer than {@code newerThan}. */
+    Optional<PeerMessage.Copy> copy(String prefix, StorePosition newerThan);
 }
--- a/relay/src/main/java/org/endivehold/relay/peer/PeerMessage.java
+++ b/relay/src/main/java/org/endivehold/relay/peer/PeerMessage.java
@@ -6,6 +6,7 @@
 import org.endivehold.relay.engine.Placement;
 import org.endivehold.relay.schedule.EngineRequest;
 import org.endivehold.relay.state.SharedStore;
+import org.endivehold.relay.state.StorePosition;
 
 /** A message between daemons. */
 public sealed interface PeerMessage {
@@ -66,35 +67,44 @@
      */
     record UpstreamObserved(String upstream, boolean failed, double slowdown) implements PeerMessage {}
 
+    /**
+     * An upstream told the sender that it is leaving.
+     *
+     * @param upstream id of the upstream
+     * @param startedAtMillis start of the upstream that is leaving; a later one with the same id is not
+     */
+    record UpstreamLeaving(String upstream, long startedAtMillis) implements PeerMessage {}
+
     /**
      * Requests a newer copy of the store's items.
      *
      * @param prefix prefix of the items
-     * @param revision revision of the sender's copy
+     * @param position position of the sender's copy
      */
-    record CopyRequest(String prefix, long revision) implements PeerMessage {}
+    record CopyRequest(String prefix, StorePosition position) implements PeerMessage {}
 
-    /** A complete copy of the store's items with a prefix, as of a revision. */
-    record Copy(String prefix, long revision, List<SharedStore.Item> items) implements PeerMessage {}
+    /** A complete copy of the store's items with a prefix, as of a point in its history. */
+    record Copy(String prefix, StorePosition position, List<SharedStore.Item> items) implements PeerMessage {}
 
     /**
      * The sender watches the store, and its copy of the items is current.
      *
      * @param prefix prefix of the items
-     * @param revision revision of the sender's copy
-     * @param changedAt revision since which no item has changed
+     * @param position position of the sender's copy
+     * @param changedAt point since which no item has changed
      * @param sinceOutageMillis time since the store answered the sender again after an outage
      */
-    record CopyCurrent(String prefix, long revision, long changedAt, double sinceOutageMillis) implements PeerMessage {}
+    record CopyCurrent(String prefix, StorePosition position, StorePosition changedAt, double sinceOutageMillis)
+            implements PeerMessage {}
 
     /**
      * Changes that the store reported to the sender.
      *
      * @param prefix prefix of the items
-     * @param after revision after which {@code changes} is complete
+     * @param after point after which {@code changes} is complete
      * @param changes the changes
      */
-    record CopyChanged(String prefix, long after, SharedStore.Changes changes) implements PeerMessage {}
+    record CopyChanged(String prefix, StorePosition after, SharedStore.Changes changes) implements PeerMessage {}
 
     /** Keeps the connection alive; answered with another ping by the side that accepted the connection. */
     record Ping() implements PeerMessage {}
--- a/relay/src/main/java/org/endivehold/relay/serve/AnswerFacts.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/AnswerFacts.java
@@ -1,6 +1,7 @@
 package org.endivehold.relay.serve;
 
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 /**
  * Status and headers of an upstream's response that the serving path evaluates.
@@ -12,6 +13,8 @@
  * @param encoded whether a content encoding was applied, so that the body is not what the upstream sealed
  * @param load load that the upstream reports about itself, if any
  * @param faultAddress address (host:port) of another upstream that caused the refusal, if any
+ * @param leaving whether the upstream states that it is shutting down
+ * @param retryAfterMillis time for which an upstream that refused wants no request from this daemon, in milliseconds
  */
 public record AnswerFacts(
         int status,
@@ -20,7 +23,9 @@
         boolean sealed,
         boolean encoded,
         Optional<UpstreamLoad> load,
-        Optional<String> faultAddress) {
+        Optional<String> faultAddress,
+        boolean leaving,
+        OptionalDouble retryAfterMillis) {
     /** Lowest status above the successes (2xx). */
     private static final int FIRST_NON_SUCCESS_STATUS = 300;
     /** Misdirected Request: the upstream at this address has an id other than the requested one. */
--- a/relay/src/main/java/org/endivehold/relay/serve/CallerServer.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/CallerServer.java
@@ -64,7 +64,7 @@
     /** Creates the server; {@link #listen} opens its port. */
     public CallerServer(RelayContext context) {
         this.context = context;
-        client = new UpstreamClient(context.vertx(), context.headerCodec());
+        client = new UpstreamClient(context.vertx(), context.headerCodec(), context.answerListener());
         server = context.vertx()
                 .createHttpServer(new HttpServerOptions()
                         .setTcpNoDelay(true)
--- a/relay/src/main/java/org/endivehold/relay/serve/PlainRequestHandler.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/PlainRequestHandler.java
@@ -114,6 +114,7 @@
         List<Upstream> ejected = new ArrayList<>();
         for (Upstream candidate : context.fleet().upstreams(service.name())) {
             if (tried.contains(candidate.id())
+                    || context.isBarred(candidate)
                     || (candidate.cold(now) && !context.coldUpstreamHasCapacity(service, candidate))) {
                 continue;
             }
@@ -256,7 +257,7 @@
         if (possibleRuns > 0) {
             exchange.fail(502, type, 0);
         } else {
-            exchange.refuse(type, loads.retryAfterMillis(context.random()));
+            exchange.refuse(type, context.allBackoffMillis(service) + loads.retryAfterMillis(context.random()));
         }
     }
 
--- a/relay/src/main/java/org/endivehold/relay/serve/RelayContext.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/RelayContext.java
@@ -7,6 +7,7 @@
 import org.endivehold.misc.Ticker;
 import org.endivehold.relay.limit.ColdLimit;
 import org.endivehold.relay.limit.RetryShare;
+import org.endivehold.relay.limit.UpstreamAvailability;
 import org.endivehold.relay.limit.UpstreamHealth;
 import org.endivehold.relay.route.RelayService;
 import org.endivehold.relay.schedule.EngineScheduler;
@@ -27,6 +28,8 @@
  * @param engineWork requests at engines, of this daemon and of others
  * @param scheduler decides when and on which engines generation requests run
  * @param health failures and speed of upstreams, as this daemon's requests and reports of other daemons show them
+ * @param availability why upstreams may not get new work
+ * @param answerListener is notified of the head of each upstream's answer
  * @param coldLimit this daemon's share of the request rate of cold upstreams
  * @param retryShare this daemon's share of the retry budget
  * @param daemons daemons among which such limits are divided
@@ -43,6 +46,8 @@
         JobReplicator engineWork,
         EngineScheduler scheduler,
         UpstreamHealth health,
+        UpstreamAvailability availability,
+        UpstreamAnswerListener answerListener,
         ColdLimit coldLimit,
         RetryShare retryShare,
         DaemonCount daemons,
@@ -62,6 +67,34 @@
         return allowed;
     }
 
+    /** Returns the ids of a service's upstreams that want no request from this daemon now. */
+    Set<String> upstreamsBackingOff(RelayService service) {
+        Set<String> ids = new HashSet<>();
+        for (Upstream upstream : fleet.upstreams(service.name())) {
+            if (availability.backoffMillis(upstream.id(), now()) > 0) {
+                ids.add(upstream.id());
+            }
+        }
+        return ids;
+    }
+
+    /** Returns whether an upstream must not get new work from this daemon. */
+    boolean isBarred(Upstream upstream) {
+        return availability.isBarred(upstream.entry(), now());
+    }
+
+    /**
+     * Returns the time until the first upstream of a service may get a request of this daemon again, in milliseconds; 0
+     * if there is one that may, or no upstream at all.
+     */
+    double allBackoffMillis(RelayService service) {
+        double shortest = Double.POSITIVE_INFINITY;
+        for (Upstream upstream : fleet.upstreams(service.name())) {
+            shortest = Math.min(shortest, availability.backoffMillis(upstream.id(), now()));
+        }
+        return Double.isInfinite(shortest) ? 0 : shortest;
+    }
+
     /** Returns whether this daemon may send one more request to a cold upstream now. */
     boolean coldUpstreamHasCapacity(RelayService service, Upstream upstream) {
         double maxPerSecond = service.coldPerSecond() * bounds.coldOverage() + bounds.coldSlack();
--- a/relay/src/main/java/org/endivehold/relay/serve/StreamRequestHandler.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/StreamRequestHandler.java
@@ -88,11 +88,25 @@
 
     /** Asks the scheduler for engines and sends the request to them, or refuses the request if there are none. */
     private void schedule(ErrorType refusal) {
+        double backoffMillis = context.allBackoffMillis(service);
+        if (backoffMillis > 0) {
+            exchange.addStep("backoff:" + Math.round(backoffMillis));
+            giveUp(refusal, backoffMillis + context.random().nextInt((int) MIN_RETRY_AFTER_MILLIS));
+            return;
+        }
         requestPlacement(excludedEngines, true, new EngineScheduler.Listener() {
             @Override
             public void placed(EngineJob job, Placement placement) {
                 pendingPlacement = Optional.empty();
-                send(job, placement);
+                Set<String> barred = barredEngines(placement);
+                if (barred.isEmpty()) {
+                    send(job, placement);
+                    return;
+                }
+                exchange.addStep("barred:" + String.join("/", barred));
+                excludedEngines.addAll(barred);
+                context.engineWork().end(job);
+                schedule(refusal);
             }
 
             @Override
@@ -104,7 +118,18 @@
         });
     }
 
-    private void requestPlacement(Set<String> avoided, boolean mayQueue, EngineScheduler.Listener listener) {
+    /** Returns the chosen engines that may not get new work: the decider may know less, or the choice took long. */
+    private Set<String> barredEngines(Placement placement) {
+        Set<String> barred = new HashSet<>();
+        for (String id : placement.engines()) {
+            context.fleet().upstream(id).filter(context::isBarred).ifPresent(engine -> barred.add(id));
+        }
+        return barred;
+    }
+
+    private void requestPlacement(Set<String> excluded, boolean mayQueue, EngineScheduler.Listener listener) {
+        Set<String> avoided = new HashSet<>(excluded);
+        avoided.addAll(context.upstreamsBackingOff(service));
         JobId id = context.engineWork().nextId();
         pendingPlacement = Optional.of(id);
         Set<String> coldWithCapacity = context.coldUpstreamsWithCapacity(service);
@@ -136,7 +161,12 @@
             @Override
             public void placed(EngineJob job, Placement placement) {
                 pendingPlacement = Optional.empty();
-                moveFrom(silent, job, placement);
+                if (barredEngines(placement).isEmpty()) {
+                    moveFrom(silent, job, placement);
+                } else {
+                    context.engineWork().end(job);
+                    watch.checkLater();
+                }
             }
 
             @Override
--- a/relay/src/main/java/org/endivehold/relay/serve/UpstreamAttempt.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/UpstreamAttempt.java
@@ -4,6 +4,7 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
+import java.util.function.Consumer;
 
 /**
  * One attempt of a request at one upstream, on a connection of its own.
@@ -31,12 +32,15 @@
     }
 
     private final Dialect headerCodec;
+    private final Consumer<AnswerFacts> headObserver;
     private final Listener listener;
     private HttpClientRequest request;
     private boolean ended;
 
-    UpstreamAttempt(Dialect headerCodec, Listener listener) {
+    /** Creates an attempt; {@code headObserver} sees the head of the response before the listener does. */
+    UpstreamAttempt(Dialect headerCodec, Consumer<AnswerFacts> headObserver, Listener listener) {
         this.headerCodec = headerCodec;
+        this.headObserver = headObserver;
         this.listener = listener;
     }
 
@@ -84,7 +88,9 @@
             }
         });
         response.endHandler(done -> complete());
-        listener.head(headerCodec.parseResponse(response.statusCode(), response.headers()), response.headers());
+        AnswerFacts head = headerCodec.parseResponse(response.statusCode(), response.headers());
+        headObserver.accept(head);
+        listener.head(head, response.headers());
     }
 
     private void complete() {
--- a/relay/src/main/java/org/endivehold/relay/serve/UpstreamClient.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/UpstreamClient.java
@@ -26,9 +26,11 @@
 
     private final HttpClient client;
     private final Dialect headerCodec;
+    private final UpstreamAnswerListener answerListener;
 
-    UpstreamClient(Vertx vertx, Dialect headerCodec) {
+    UpstreamClient(Vertx vertx, Dialect headerCodec, UpstreamAnswerListener answerListener) {
         this.headerCodec = headerCodec;
+        this.answerListener = answerListener;
         client = vertx.createHttpClient(
                 new HttpClientOptions()
                         .setKeepAlive(false)
@@ -56,7 +58,8 @@
                 .setMethod(outgoing.method())
                 .setURI(outgoing.uri())
                 .setHeaders(headers);
-        UpstreamAttempt attempt = new UpstreamAttempt(headerCodec, listener);
+        UpstreamAttempt attempt =
+                new UpstreamAttempt(headerCodec, head -> answerListener.answered(upstream, head), listener);
         client.request(options)
                 .onSuccess(opened -> attempt.opened(opened, outgoing.body()))
                 .onFailure(attempt::failedToOpen);
--- a/relay/src/main/java/org/endivehold/relay/state/FleetState.java
+++ b/relay/src/main/java/org/endivehold/relay/state/FleetState.java
@@ -12,6 +12,7 @@
 import org.endivehold.error.EndiveholdException;
 import org.endivehold.misc.LogEvent;
 import org.endivehold.misc.Ticker;
+import org.endivehold.relay.limit.UpstreamAvailability;
 import org.endivehold.relay.route.RoutingTable;
 import org.endivehold.relay.route.UpstreamEntry;
 import org.jboss.logging.Logger;
@@ -22,6 +23,10 @@
  * <p>The version of the configuration in force never decreases. Entries of upstreams that vanish during an outage of
  * the store or shortly after it are kept for a grace period: their leases may have expired although the upstreams are
  * alive, and live upstreams write their entries again soon after the outage.
+ *
+ * <p>A store that was restored from an older copy may have lost what operators and upstreams wrote last, until they
+ * write it again. So an evacuation that the copy lacks stays in effect for the same grace period, and an upstream that
+ * was leaving stays so although its older entry says that it serves.
  */
 public final class FleetState implements FleetView, ItemListener {
     /** Time after the end of a store outage for which vanished entries remain in use, in milliseconds. */
@@ -31,11 +36,14 @@
 
     private final StoreDecoder decoder;
     private final Ticker ticker;
+    private final UpstreamAvailability availability;
     private final DoubleSupplier sinceOutageMillis;
+    private final DoubleSupplier sinceRestoreMillis;
     private final Map<String, Upstream> upstreams = new HashMap<>();
+    private final Map<String, Long> eras = new HashMap<>();
     private final Set<String> lapsed = new HashSet<>();
+    private final Set<String> lapsedEvacuations = new HashSet<>();
     private final Map<String, List<Upstream>> byService = new HashMap<>();
-    private final Set<String> evacuatedZones = new HashSet<>();
     private final List<Runnable> listeners = new ArrayList<>();
     private RoutingTable table;
     private boolean indexed;
@@ -46,12 +54,21 @@
      *
      * @param decoder knows the store's keys and decodes its values
      * @param ticker clock for the end of cold phases
+     * @param availability learns which upstreams leave and which zones are evacuated
      * @param sinceOutageMillis time since the end of the last store outage, in milliseconds; 0 during an outage
+     * @param sinceRestoreMillis time since the operators' entries were restored from an older copy, in milliseconds
      */
-    public FleetState(StoreDecoder decoder, Ticker ticker, DoubleSupplier sinceOutageMillis) {
+    public FleetState(
+            StoreDecoder decoder,
+            Ticker ticker,
+            UpstreamAvailability availability,
+            DoubleSupplier sinceOutageMillis,
+            DoubleSupplier sinceRestoreMillis) {
         this.decoder = decoder;
         this.ticker = ticker;
+        this.availability = availability;
         this.sinceOutageMillis = sinceOutageMillis;
+        this.sinceRestoreMillis = sinceRestoreMillis;
     }
 
     /** Adds a listener that runs after each change. */
@@ -95,10 +112,11 @@
             configure(item);
         } else if (key.startsWith(decoder.evacuatedZonePrefix())) {
             String zone = key.substring(decoder.evacuatedZonePrefix().length());
-            evacuatedZones.add(zone);
+            availability.evacuate(zone);
+            lapsedEvacuations.remove(zone);
             LogEvent.of("zone-out")
                     .with("zone", zone)
-                    .with("revision", item.revision())
+                    .with("revision", item.position().revision())
                     .info(log);
             changed();
         } else if (key.startsWith(decoder.upstreamPrefix())) {
@@ -110,9 +128,7 @@
     public void removed(String key) {
         if (key.startsWith(decoder.evacuatedZonePrefix())) {
             String zone = key.substring(decoder.evacuatedZonePrefix().length());
-            evacuatedZones.remove(zone);
-            LogEvent.of("zone-in").with("zone", zone).info(log);
-            changed();
+            evacuationRemoved(zone);
         } else if (key.startsWith(decoder.upstreamPrefix())) {
             unregister(key.substring(decoder.upstreamPrefix().length()));
         }
@@ -139,13 +155,13 @@
             table = decoded;
             LogEvent.of("configuration-in-force")
                     .with("version", decoded.version())
-                    .with("revision", item.revision())
+                    .with("revision", item.position().revision())
                     .with("routes", decoded.size())
                     .info(log);
             changed();
         } catch (EndiveholdException e) {
             LogEvent.of("configuration-unreadable")
-                    .with("revision", item.revision())
+                    .with("revision", item.position().revision())
                     .with("reason", e.getMessage())
                     .warn(log);
         }
@@ -155,8 +171,10 @@
         try {
             UpstreamEntry entry = decoder.upstream(id, item.value());
             Upstream known = upstreams.get(id);
+            compareStarts(known, entry, item.position().era());
             double coldUntil = ticker.millis() + entry.coldMillis();
             upstreams.put(id, new Upstream(entry, coldUntil));
+            eras.put(id, item.position().era());
             lapsed.remove(id);
             if (known == null
                     || known.entry().leaving() != entry.leaving()
@@ -168,20 +186,62 @@
                         .with("zone", entry.zone())
                         .with("leaving", entry.leaving())
                         .with("cold_ms", entry.coldMillis())
-                        .with("revision", item.revision())
+                        .with("revision", item.position().revision())
                         .info(log);
             }
         } catch (EndiveholdException e) {
-            upstreams.remove(id);
+            forget(id);
             LogEvent.of("upstream-unreadable")
                     .with("upstream", id)
-                    .with("revision", item.revision())
+                    .with("revision", item.position().revision())
                     .with("reason", e.getMessage())
                     .warn(log);
         }
         changed();
     }
 
+    /** Compares a new entry of an upstream with the known one, which may be of an earlier start or of a newer state. */
+    private void compareStarts(Upstream known, UpstreamEntry entry, long era) {
+        if (known == null) {
+            return;
+        }
+        if (known.entry().startedAtMillis() != entry.startedAtMillis()) {
+            availability.restarted(entry.id());
+        } else if (known.entry().leaving() && !entry.leaving() && era > eras.getOrDefault(entry.id(), era)) {
+            availability.markLeaving(entry.id(), entry.startedAtMillis());
+        }
+    }
+
+    /**
+     * Records that an upstream said that it is leaving. Its entry may not show that yet.
+     *
+     * @param id id of the upstream
+     * @param startedAtMillis start of the upstream that said so
+     * @return whether that was not known
+     */
+    public boolean markLeaving(String id, long startedAtMillis) {
+        boolean news = availability.markLeaving(id, startedAtMillis);
+        if (news) {
+            LogEvent.of("upstream-leaving")
+                    .with("upstream", id)
+                    .with("started_at", startedAtMillis)
+                    .info(log);
+            changed();
+        }
+        return news;
+    }
+
+    private void evacuationRemoved(String zone) {
+        boolean kept = sinceRestoreMillis.getAsDouble() < LAPSE_GRACE_MILLIS;
+        LogEvent.of("zone-in").with("zone", zone).with("kept_out", kept).info(log);
+        if (kept) {
+            lapsedEvacuations.add(zone);
+        } else {
+            availability.takeBack(zone);
+        }
+        changed();
+    }
+
     private void unregister(String id) {
         if (!upstreams.containsKey(id)) {
             return;
@@ -197,16 +257,27 @@
         if (kept) {
             lapsed.add(id);
         } else {
-            upstreams.remove(id);
+            forget(id);
         }
         changed();
     }
 
-    /** Removes vanished entries after the grace period, which begins at the end of the outage. */
+    private void forget(String id) {
+        upstreams.remove(id);
+        eras.remove(id);
+    }
+
+    /** Removes vanished entries after the grace period, which begins at the end of the outage or at the restore. */
     private void dropLapsed() {
+        if (!lapsedEvacuations.isEmpty() && sinceRestoreMillis.getAsDouble() >= LAPSE_GRACE_MILLIS) {
+            LogEvent.of("evacuations-lapsed").with("zones", lapsedEvacuations).info(log);
+            lapsedEvacuations.forEach(availability::takeBack);
+            lapsedEvacuations.clear();
+            indexed = false;
+        }
         if (!lapsed.isEmpty() && sinceOutageMillis.getAsDouble() >= LAPSE_GRACE_MILLIS) {
             LogEvent.of("upstreams-lapsed").with("upstreams", lapsed).info(log);
-            upstreams.keySet().removeAll(lapsed);
+            lapsed.forEach(this::forget);
             lapsed.clear();
             indexed = false;
         }
@@ -216,7 +287,7 @@
         byService.clear();
         for (Upstream upstream : upstreams.values()) {
             UpstreamEntry entry = upstream.entry();
-            if (!entry.leaving() && !evacuatedZones.contains(entry.zone())) {
+            if (availability.isInService(entry)) {
                 byService
                         .computeIfAbsent(entry.service(), name -> new ArrayList<>())
                         .add(upstream);
--- a/relay/src/main/java/org/endivehold/relay/state/PrefixCopy.java
+++ b/relay/src/main/java/org/endivehold/relay/state/PrefixCopy.java
@@ -8,38 +8,40 @@
 import java.util.Set;
 
 /**
- * A copy of the items under one prefix, as of a revision of the store.
+ * A copy of the items under one prefix, as of a point in the store's history.
  *
- * <p>The same change may arrive more than once and from several sources. The copy is complete up to its revision, so
- * changes up to it are ignored. Pages of a range read may contain items newer than that revision; these are replaced
- * only by changes with a greater revision.
+ * <p>The same change may arrive more than once and from several sources. The copy is complete up to its position, so
+ * changes up to it are ignored. Pages of a range read may contain items newer than that position; these are replaced
+ * only by later changes.
+ *
+ * <p>Changes belong to the era of the copy; a newer era begins with a range read. All its items are later than those of
+ * the older era, so they replace them even if the restored store holds older bytes.
  */
 final class PrefixCopy {
     private final ItemListener listener;
     private final Map<String, SharedStore.Item> items = new HashMap<>();
-    private long revision = -1;
-    private long changedAt = -1;
+    private StorePosition position = StorePosition.NONE;
+    private StorePosition changedAt = StorePosition.NONE;
 
     PrefixCopy(ItemListener listener) {
         this.listener = listener;
     }
 
-    /** Returns the revision up to which the copy is complete; -1 before the first read. */
-    long revision() {
-        return revision;
+    /** Returns the point up to which the copy is complete; {@link StorePosition#NONE} before the first read. */
+    StorePosition position() {
+        return position;
     }
 
     /**
-     * Returns a revision since which no item has changed: any copy that is complete up to it or beyond has the same
-     * items.
+     * Returns a point since which no item has changed: any copy that is complete up to it or beyond has the same items.
      */
-    long changedAt() {
+    StorePosition changedAt() {
         return changedAt;
     }
 
-    /** Advances the revision; no item has changed up to it. */
-    void unchanged(long upTo) {
-        revision = Math.max(revision, upTo);
+    /** Advances the position; no item has changed up to it. */
+    void unchanged(StorePosition upTo) {
+        position = StorePosition.latest(position, upTo);
     }
 
     /** Returns a new list of the items, in no particular order. */
@@ -47,25 +49,32 @@
         return new ArrayList<>(items.values());
     }
 
-    /** Applies changes that start at the copy's revision or an earlier one, without a gap. */
+    /** Applies changes that start at the copy's position or an earlier one, without a gap. */
     void apply(SharedStore.Changes changes) {
         for (SharedStore.Change change : changes.changes()) {
             SharedStore.Item known = items.get(change.key());
-            boolean old = change.revision() <= revision;
-            if (old || (known != null && known.revision() >= change.revision())) {
+            boolean old = !change.position().isAfter(position);
+            if (old || (known != null && !change.position().isAfter(known.position()))) {
                 continue;
             }
-            changedAt = change.revision();
+            changedAt = change.position();
             if (change.value().isPresent()) {
                 SharedStore.Item item =
-                        new SharedStore.Item(change.key(), change.value().get(), change.revision());
+                        new SharedStore.Item(change.key(), change.value().get(), change.position());
                 items.put(change.key(), item);
                 listener.written(item);
             } else if (items.remove(change.key()) != null) {
                 listener.removed(change.key());
             }
         }
-        revision = Math.max(revision, changes.revision());
+        position = StorePosition.latest(position, changes.position());
+    }
+
+    /** Returns whether a restored store holds an item with the bytes that are known; such an item was not written. */
+    private static boolean isSameInOtherEra(SharedStore.Item known, SharedStore.Item item) {
+        return known != null
+                && known.position().era() != item.position().era()
+                && known.value().equals(item.value());
     }
 
     /** Replaces the contents by a range read; items that are missing in it were removed. */
@@ -74,18 +83,20 @@
         for (SharedStore.Item item : range.items()) {
             missing.remove(item.key());
             SharedStore.Item known = items.get(item.key());
-            if (known == null || known.revision() < item.revision()) {
+            if (known == null || item.position().isAfter(known.position())) {
                 items.put(item.key(), item);
-                listener.written(item);
+                if (!isSameInOtherEra(known, item)) {
+                    listener.written(item);
+                }
             }
         }
         for (String key : missing) {
-            if (items.get(key).revision() <= range.revision()) {
+            if (!items.get(key).position().isAfter(range.position())) {
                 items.remove(key);
                 listener.removed(key);
             }
         }
-        revision = range.revision();
-        changedAt = revision;
+        position = range.position();
+        changedAt = position;
     }
 }
--- a/relay/src/main/java/org/endivehold/relay/state/SharedStore.java
+++ b/relay/src/main/java/org/endivehold/relay/state/SharedStore.java
@@ -11,7 +11,9 @@
  * <p>Each call completes within the adapter's timeout. It succeeds or fails with an
  * {@link org.endivehold.error.EndiveholdException}: {@code STORE_UNAVAILABLE} and {@code STORE_REFUSED} if the call had
  * no effect, {@code STORE_UNKNOWN} if a write may have taken effect, {@code STORE_HISTORY_GONE} if the history of a
- * watch was compacted and the range has to be read again, {@code LEASE_LOST} if a lease has ended.
+ * watch is not available and the range has to be read again, {@code LEASE_LOST} if a lease has ended.
+ *
+ * <p>An answer of an older era that arrives after one of a newer era is dropped: the call fails.
  */
 public interface SharedStore {
     /**
@@ -19,50 +21,53 @@
      *
      * @param key its key
      * @param value its bytes
-     * @param revision revision of its last change
+     * @param position point of its last change
      */
-    record Item(String key, Buffer value, long revision) {}
+    record Item(String key, Buffer value, StorePosition position) {}
 
     /**
      * The result of a range read.
      *
      * @param items the items, ordered by key
-     * @param revision revision of the store; later changes have a greater one
+     * @param position point at which the read began; it contains all changes up to this point
      */
-    record Range(List<Item> items, long revision) {}
+    record Range(List<Item> items, StorePosition position) {}
 
     /**
      * A change of one key.
      *
      * @param key the key
-     * @param revision revision of the change
+     * @param position point of the change
      * @param value the new bytes, or empty if the key was removed
      */
-    record Change(String key, long revision, Optional<Buffer> value) {}
+    record Change(String key, StorePosition position, Optional<Buffer> value) {}
 
     /**
      * The result of a watch.
      *
-     * @param changes the changes, ordered by revision; empty if the wait ended without one
-     * @param revision revision from which the next watch continues
+     * @param changes the changes of one era, ordered by position; empty if the wait ended without one
+     * @param position point from which the next watch continues
      */
-    record Changes(List<Change> changes, long revision) {}
+    record Changes(List<Change> changes, StorePosition position) {}
 
-    /** Reads all items with a prefix. The result is not a snapshot: its revision is that of the first page. */
+    /** Reads all items with a prefix. The result is not a snapshot: its position is that of the first page. */
     Future<Range> range(String prefix);
 
-    /** Waits for changes after a revision, for at most {@code waitMillis}. */
-    Future<Changes> watch(String prefix, long after, int waitMillis);
+    /**
+     * Waits for changes after a point, for at most {@code waitMillis}; fails with {@code STORE_HISTORY_GONE} if the
+     * store does not have that point, in particular after a restore.
+     */
+    Future<Changes> watch(String prefix, StorePosition after, int waitMillis);
 
-    /** Creates a lease that expires after {@code ttlMillis} without renewal, and returns its id. */
-    Future<Long> grantLease(int ttlMillis);
+    /** Creates a lease that expires after {@code ttlMillis} without renewal. */
+    Future<StoreLease> grantLease(int ttlMillis);
 
     /** Renews a lease; fails with {@code LEASE_LOST} if it has ended. */
-    Future<Void> renewLease(long lease);
+    Future<Void> renewLease(StoreLease lease);
 
     /** Revokes a lease; the store removes the keys that are attached to it. */
-    Future<Void> revokeLease(long lease);
+    Future<Void> revokeLease(StoreLease lease);
 
     /** Writes a key that is attached to a lease; fails with {@code LEASE_LOST} if the lease has ended. */
-    Future<Void> put(String key, Buffer value, long lease);
+    Future<Void> put(String key, Buffer value, StoreLease lease);
 }
--- a/relay/src/main/java/org/endivehold/relay/state/WatchedPrefix.java
+++ b/relay/src/main/java/org/endivehold/relay/state/WatchedPrefix.java
@@ -2,7 +2,7 @@
 
 import io.vertx.core.Vertx;
 import java.util.List;
-import java.util.function.ObjLongConsumer;
+import java.util.function.BiConsumer;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.endivehold.error.EndiveholdException;
 import org.endivehold.error.ErrorType;
@@ -13,17 +13,21 @@
 /**
  * A copy of all items under one prefix of the store, kept current by a long-polled watch.
  *
- * <p>The copy starts with a read of the whole range and continues with watches from the revision of its first page. The
+ * <p>The copy starts with a read of the whole range and continues with watches from the position of its first page. The
  * pages are not a snapshot, but changes made between them are reported again by the watch, and a change replaces an
- * item only if its revision is greater. If the store no longer has the history, the range is read again and compared:
- * items that are missing in it were removed. The range is also read again after two failed calls in a row. Waits are
- * short, so that a dead connection is detected within seconds.
+ * item only if it is later. If the store no longer has the history, the range is read again and compared: items that
+ * are missing in it were removed. The range is also read again after two failed calls in a row. Waits are short, so
+ * that a dead connection is detected within seconds.
  *
  * <p>During a store outage the copy remains in use, and newer copies of other daemons are accepted.
  *
+ * <p>A store that was restored from an older copy rejects the watch, and the range is read anew in the new era.
+ * Whatever was written after that copy is missing until its authors write it again, as after an outage; so the restore
+ * counts as the end of one, even if it was so short that no call failed.
+ *
  * <p>In a large fleet only a few daemons watch; the others receive changes from them ({@code CopyExchange}). A daemon
  * that gets no confirmation from a watching daemon for {@value #PEER_CONFIRMATION_MILLIS} ms starts its own watch from
- * the revision of its copy.
+ * the position of its copy.
  */
 public final class WatchedPrefix {
     /** Longest wait of one watch call, in milliseconds: a dead connection is detected after about this time. */
@@ -47,11 +51,12 @@
     private final ItemListener listener;
     private final PrefixCopy copy;
 
-    private ObjLongConsumer<SharedStore.Changes> changeListener = (changes, after) -> {};
+    private BiConsumer<SharedStore.Changes, StorePosition> changeListener = (changes, after) -> {};
     private boolean rangeReadNeeded = true;
     private int failures;
     private double outageSince = -1;
     private double outageEndedAt = Double.NEGATIVE_INFINITY;
+    private double restoredAt = Double.NEGATIVE_INFINITY;
     private double confirmedAt = Double.NEGATIVE_INFINITY;
     private double peerConfirmedUntil = Double.NEGATIVE_INFINITY;
     private boolean closed;
@@ -73,8 +78,8 @@
         this.copy = new PrefixCopy(listener);
     }
 
-    /** Sets the listener for changes reported by the store; it gets the revision after which they are complete. */
-    public void onChanges(ObjLongConsumer<SharedStore.Changes> value) {
+    /** Sets the listener for changes reported by the store; it gets the point after which they are complete. */
+    public void onChanges(BiConsumer<SharedStore.Changes, StorePosition> value) {
         changeListener = value;
     }
 
@@ -93,13 +98,13 @@
         return prefix;
     }
 
-    /** Returns the revision up to which the copy is complete; -1 before the first read. */
-    public long revision() {
-        return copy.revision();
+    /** Returns the point up to which the copy is complete; {@link StorePosition#NONE} before the first read. */
+    public StorePosition position() {
+        return copy.position();
     }
 
-    /** Returns a revision since which no item of the copy has changed. */
-    public long changedAt() {
+    /** Returns a point since which no item of the copy has changed. */
+    public StorePosition changedAt() {
         return copy.changedAt();
     }
 
@@ -123,23 +128,32 @@
         return ticker.millis() - outageEndedAt;
     }
 
+    /** Returns the time since this copy learned of a restore of the store, in milliseconds; infinite if it did not. */
+    public double sinceRestoreMillis() {
+        return ticker.millis() - restoredAt;
+    }
+
     /**
      * Handles the confirmation of another daemon that it watches the store and that its copy is current. This daemon
-     * makes no calls of its own while the confirmation is valid.
+     * makes no calls of its own while the confirmation is valid. A confirmation of an older era is ignored: it was sent
+     * before the sender learned of the store's restore.
      *
-     * @param peerRevision revision of the other daemon's copy
-     * @param changedAt revision since which no item of that copy has changed
+     * @param peerPosition position of the other daemon's copy
+     * @param changedAt point since which no item of that copy has changed
      * @param sinceOutageMillis time since the store answered that daemon again after an outage
      * @return false if this copy is older than {@code changedAt}, so that changes are missing
      */
-    public boolean confirmByPeer(long peerRevision, long changedAt, double sinceOutageMillis) {
+    public boolean confirmByPeer(StorePosition peerPosition, StorePosition changedAt, double sinceOutageMillis) {
+        if (peerPosition.era() < position().era()) {
+            return true;
+        }
         double now = ticker.millis();
         peerConfirmedUntil = now + PEER_CONFIRMATION_MILLIS;
         outageEndedAt = Math.max(outageEndedAt, now - sinceOutageMillis);
         answered("peer");
-        boolean complete = revision() >= changedAt;
+        boolean complete = !changedAt.isAfter(position());
         if (complete) {
-            copy.unchanged(peerRevision);
+            copy.unchanged(peerPosition);
         }
         return complete;
     }
@@ -148,14 +162,14 @@
      * Applies changes that the store reported to another daemon.
      *
      * @param changes the changes
-     * @param after revision after which {@code changes} is complete
+     * @param after point after which {@code changes} is complete
      * @return false if this copy is older than {@code after}, so that changes are missing; nothing is applied then
      */
-    public boolean applyFromPeer(SharedStore.Changes changes, long after) {
-        if (revision() < after) {
+    public boolean applyFromPeer(SharedStore.Changes changes, StorePosition after) {
+        if (after.isAfter(position())) {
             return false;
         }
-        if (changes.revision() > revision()) {
+        if (changes.position().isAfter(position())) {
             copy.apply(changes);
             listener.current(this);
         }
@@ -164,14 +178,15 @@
 
     /** Replaces this copy by the copy of the daemon {@code from} if that is newer. */
     public void replaceIfNewer(SharedStore.Range theirs, String from) {
-        if (theirs.revision() <= revision()) {
+        if (!theirs.position().isAfter(position())) {
             return;
         }
         LogEvent.of("store-copy-taken")
                 .with("prefix", prefix)
                 .with("from", from)
-                .with("revision", theirs.revision())
-                .with("had", revision())
+                .with("era", theirs.position().era())
+                .with("revision", theirs.position().revision())
+                .with("had", position().revision())
                 .info(log);
         replace(theirs);
     }
@@ -181,14 +196,14 @@
             return;
         }
         double confirmedMillis = peerConfirmedUntil - ticker.millis();
-        if (confirmedMillis > 0 && revision() >= 0) {
+        if (confirmedMillis > 0 && isFilled()) {
             vertx.setTimer((long) confirmedMillis + 1, timer -> startNextCall());
         } else if (rangeReadNeeded) {
             store.range(prefix).onComplete(read -> {
                 if (read.succeeded()) {
                     storeAnswered();
                     rangeReadNeeded = false;
-                    if (read.result().revision() >= revision()) {
+                    if (!position().isAfter(read.result().position())) {
                         replace(read.result());
                     }
                     startNextCall();
@@ -197,7 +212,7 @@
                 }
             });
         } else {
-            store.watch(prefix, revision(), WATCH_WAIT_MILLIS).onComplete(watched -> {
+            store.watch(prefix, position(), WATCH_WAIT_MILLIS).onComplete(watched -> {
                 if (watched.succeeded()) {
                     storeAnswered();
                     apply(watched.result());
@@ -232,7 +247,7 @@
         if (cause instanceof EndiveholdException e && e.type() == ErrorType.STORE_HISTORY_GONE) {
             LogEvent.of("store-history-gone")
                     .with("prefix", prefix)
-                    .with("revision", revision())
+                    .with("revision", position().revision())
                     .info(log);
             rangeReadNeeded = true;
             startNextCall();
@@ -242,7 +257,7 @@
             outageSince = ticker.millis();
             LogEvent.of("store-lost")
                     .with("prefix", prefix)
-                    .with("revision", revision())
+                    .with("revision", position().revision())
                     .with("reason", cause.getMessage())
                     .warn(log);
         }
@@ -252,8 +267,21 @@
         vertx.setTimer(backoff / 2 + random.nextInt(backoff), timer -> startNextCall());
     }
 
+    /** Starts the grace period for entries that the restored store lacks, before they are reported as removed. */
+    private void restored(StorePosition to) {
+        restoredAt = ticker.millis();
+        outageEndedAt = restoredAt;
+        LogEvent.of("store-restored")
+                .with("prefix", prefix)
+                .with("era", to.era())
+                .with("revision", to.revision())
+                .with("had_era", position().era())
+                .with("had", position().revision())
+                .warn(log);
+    }
+
     private void apply(SharedStore.Changes changes) {
-        long before = copy.changedAt();
+        StorePosition before = copy.changedAt();
         copy.apply(changes);
         listener.current(this);
         if (!changes.changes().isEmpty()) {
@@ -261,7 +289,14 @@
         }
     }
 
+    private boolean isFilled() {
+        return position().isAfter(StorePosition.NONE);
+    }
+
     private void replace(SharedStore.Range range) {
+        if (isFilled() && range.position().era() > position().era()) {
+            restored(range.position());
+        }
         copy.replace(range);
         listener.current(this);
     }
--- a/relay/src/test/java/org/endivehold/relay/peer/PeerCodecTest.java
+++ b/relay/src/test/java/org/endivehold/relay/peer/PeerCodecTest.java
@@ -15,6 +15,7 @@
 import org.endivehold.relay.engine.PromptNeed;
 import org.endivehold.relay.schedule.EngineRequest;
 import org.endivehold.relay.state.SharedStore;
+import org.endivehold.relay.state.StorePosition;
 import org.junit.jupiter.api.Test;
 
 class PeerCodecTest {
@@ -34,20 +35,25 @@
             new PeerMessage.JobDecoding(ID),
             new PeerMessage.JobEnded(ID),
             new PeerMessage.UpstreamFailed("a", 600),
-            new PeerMessage.CopyRequest("op/", 12),
-            new PeerMessage.Copy("op/", 13, List.of(new SharedStore.Item("op/x", Buffer.buffer("value"), 13))),
-            new PeerMessage.CopyCurrent("op/", 13, 12, 1_500),
+            new PeerMessage.CopyRequest("op/", at(12)),
+            new PeerMessage.Copy("op/", at(13), List.of(new SharedStore.Item("op/x", Buffer.buffer("value"), at(13)))),
+            new PeerMessage.CopyCurrent("op/", at(13), at(12), 1_500),
             new PeerMessage.CopyChanged(
                     "op/",
-                    12,
+                    at(12),
                     new SharedStore.Changes(
                             List.of(
-                                    new SharedStore.Change("op/x", 13, Optional.of(Buffer.buffer("new"))),
-                                    new SharedStore.Change("op/y", 14, Optional.empty())),
-                            15)),
+                                    new SharedStore.Change("op/x", at(13), Optional.of(Buffer.buffer("new"))),
+                                    new SharedStore.Change("op/y", at(14), Optional.empty())),
+                            at(15))),
+            new PeerMessage.UpstreamLeaving("a", 1_700_000_000_000L),
             new PeerMessage.Ping(),
             new PeerMessage.Bye());
 
+    private static StorePosition at(long revision) {
+        return new StorePosition(2, revision);
+    }
+
     @Test
     void messagesAreDecodedWhateverTheChunkBoundaries() {
         Buffer frames = PeerCodec.encode(ALL).appendBuffer(PeerCodec.encode(ALL.subList(0, 3)));
--- a/relay/src/test/java/org/endivehold/relay/peer/PeerMeshTest.java
+++ b/relay/src/test/java/org/endivehold/relay/peer/PeerMeshTest.java
@@ -22,6 +22,7 @@
 import org.endivehold.relay.engine.EngineJob;
 import org.endivehold.relay.engine.JobId;
 import org.endivehold.relay.state.SharedStore;
+import org.endivehold.relay.state.StorePosition;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -69,9 +70,11 @@
         }
 
         @Override
-        public Optional<PeerMessage.Copy> copy(String prefix, long newerThan) {
-            SharedStore.Item item = new SharedStore.Item(prefix + "x", Buffer.buffer("v"), 9);
-            return newerThan < 9 ? Optional.of(new PeerMessage.Copy(prefix, 9, List.of(item))) : Optional.empty();
+        public Optional<PeerMessage.Copy> copy(String prefix, StorePosition newerThan) {
+            SharedStore.Item item = new SharedStore.Item(prefix + "x", Buffer.buffer("v"), new StorePosition(1, 9));
+            return item.position().isAfter(newerThan)
+                    ? Optional.of(new PeerMessage.Copy(prefix, item.position(), List.of(item)))
+                    : Optional.empty();
         }
 
         /** Waits for an event and skips all events before it. */
@@ -196,7 +199,7 @@
         first.jobs.add(job());
         first.run(() -> first.mesh.addSeed(second.address));
         second.await("JobPlaced");
-        first.run(() -> first.mesh.requestCopy(new PeerMessage.CopyRequest("o/", 3), 0));
+        first.run(() -> first.mesh.requestCopy(new PeerMessage.CopyRequest("o/", new StorePosition(1, 3)), 0));
         first.await("Copy");
     }
 }
--- a/relay/src/test/java/org/endivehold/relay/schedule/SharedSchedulerTest.java
+++ b/relay/src/test/java/org/endivehold/relay/schedule/SharedSchedulerTest.java
@@ -66,7 +66,7 @@
 
         @Override
         public Optional<Upstream> upstream(String id) {
-            return Optional.of(new Upstream(new UpstreamEntry(id, "engines", null, "zone", 2, false, 0), 0));
+            return Optional.of(new Upstream(new UpstreamEntry(id, "engines", null, "zone", 2, false, 0, 0), 0));
         }
     }
 
--- a/relay/src/test/java/org/endivehold/relay/serve/RelayFixture.java
+++ b/relay/src/test/java/org/endivehold/relay/serve/RelayFixture.java
@@ -12,13 +12,16 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.endivehold.misc.Ticker;
 import org.endivehold.relay.limit.ColdLimit;
 import org.endivehold.relay.limit.RetryShare;
+import org.endivehold.relay.limit.UpstreamAvailability;
 import org.endivehold.relay.limit.UpstreamHealth;
+import org.endivehold.relay.peer.PeerMessage;
 import org.endivehold.relay.route.Customer;
 import org.endivehold.relay.route.EngineProfile;
 import org.endivehold.relay.route.RelayRoute;
@@ -40,6 +43,7 @@
     final List<ScriptedUpstream> plainUpstreams = List.of(new ScriptedUpstream(), new ScriptedUpstream());
     final List<ScriptedUpstream> engines = List.of(new ScriptedUpstream(), new ScriptedUpstream());
     final List<String> memoryCommands = new ArrayList<>();
+    final List<PeerMessage> peerMessages = new CopyOnWriteArrayList<>();
     private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
     private final CallerServer server;
     private final int port;
@@ -47,6 +51,10 @@
     /** Number of calls of {@link #complete} that return false before the fleet counts as known. */
     volatile int incompleteChecks;
 
+    /** Start of all upstreams, as their entries show it. */
+    volatile long startedAtMillis = 1;
+
+    private final UpstreamAvailability availability;
     private int completenessChecks;
 
     RelayFixture() throws Exception {
@@ -89,6 +97,7 @@
         UniformRandomProvider random = RandomSource.SPLIT_MIX_64.create(1);
         JobReplicator work = new JobReplicator(ticker, "d", message -> {});
         UpstreamHealth health = new UpstreamHealth();
+        availability = new UpstreamAvailability(health);
         server = new CallerServer(new RelayContext(
                 vertx,
                 ticker,
@@ -100,6 +109,8 @@
                 work,
                 new LocalScheduler(vertx, ticker, random, this, health, work),
                 health,
+                availability,
+                new AvailabilityRecorder(availability::markLeaving, availability, ticker, peerMessages::add),
                 new ColdLimit("d"),
                 new RetryShare(1, 100, 10_000),
                 onlyDaemon,
@@ -190,11 +201,15 @@
         for (int i = 0; i < all.size(); i++) {
             upstreams.add(upstream(service, i, all.get(i)));
         }
+        upstreams.removeIf(upstream -> !availability.isInService(upstream.entry()));
         return upstreams;
     }
 
-    private static Upstream upstream(String service, int index, ScriptedUpstream upstream) {
-        return new Upstream(new UpstreamEntry(service + "-" + index, service, upstream.address(), "z", 4, false, 0), 0);
+    private Upstream upstream(String service, int index, ScriptedUpstream upstream) {
+        return new Upstream(
+                new UpstreamEntry(
+                        service + "-" + index, service, upstream.address(), "z", 4, false, 0, startedAtMillis),
+                0);
     }
 
     @Override
--- a/relay/src/test/java/org/endivehold/relay/serve/ReservationTest.java
+++ b/relay/src/test/java/org/endivehold/relay/serve/ReservationTest.java
@@ -56,7 +56,7 @@
 
     private static Upstream engine(String id) {
         SocketAddress address = SocketAddress.inetSocketAddress(1, "10.0.0.1");
-        return new Upstream(new UpstreamEntry(id, "s", address, "z", 1, false, 0), 0);
+        return new Upstream(new UpstreamEntry(id, "s", address, "z", 1, false, 0, 0), 0);
     }
 
     private Reservation reservation(String... engines) {
--- a/relay/src/test/java/org/endivehold/relay/serve/TestHeaderCodec.java
+++ b/relay/src/test/java/org/endivehold/relay/serve/TestHeaderCodec.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.MultiMap;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 
 /** Header names of the tests, shorter than those of the platform. */
@@ -41,7 +42,11 @@
                 headers.contains("signature"),
                 headers.contains("content-encoding"),
                 Optional.empty(),
-                Optional.ofNullable(headers.get("fault")));
+                Optional.ofNullable(headers.get("fault")),
+                headers.contains("leaving"),
+                headers.contains("pause-ms")
+                        ? OptionalDouble.of(Double.parseDouble(headers.get("pause-ms")))
+                        : OptionalDouble.empty());
     }
 
     @Override
--- a/relay/src/test/java/org/endivehold/relay/state/CopyExchangeTest.java
+++ b/relay/src/test/java/org/endivehold/relay/state/CopyExchangeTest.java
@@ -82,7 +82,7 @@
         }
 
         @Override
-        public Optional<PeerMessage.Copy> copy(String prefix, long newerThan) {
+        public Optional<PeerMessage.Copy> copy(String prefix, StorePosition newerThan) {
             return exchange.copy(prefix, newerThan);
         }
     }
--- a/relay/src/test/java/org/endivehold/relay/state/FakeStore.java
+++ b/relay/src/test/java/org/endivehold/relay/state/FakeStore.java
@@ -10,30 +10,57 @@
 import org.endivehold.error.EndiveholdException;
 import org.endivehold.error.ErrorType;
 
-/** An in-memory store whose watches wait for writes and whose calls can be made to fail. */
+/** An in-memory store whose watches wait for writes, whose calls can fail, and that can be restored from a copy. */
 final class FakeStore implements SharedStore {
     private final TreeMap<String, Item> items = new TreeMap<>();
     private final List<Change> history = new ArrayList<>();
     private final List<Waiting> waiting = new ArrayList<>();
+    private long era;
     private long revision = 10;
     private long compactedRevision;
     private boolean down;
     private int ranges;
 
-    private record Waiting(String prefix, long after, Promise<Changes> promise) {}
+    private record Waiting(String prefix, StorePosition after, Promise<Changes> promise) {}
+
+    /** Contents of the store at one time. */
+    record Backup(TreeMap<String, Item> items, long revision) {}
+
+    Backup backup() {
+        return new Backup(new TreeMap<>(items), revision);
+    }
+
+    /** Restores an older copy: a new era begins, and waiting watches fail with {@code STORE_HISTORY_GONE}. */
+    void restore(Backup backup) {
+        era++;
+        revision = backup.revision();
+        items.clear();
+        backup.items()
+                .forEach((key, item) -> items.put(
+                        key,
+                        new Item(
+                                key,
+                                item.value(),
+                                new StorePosition(era, item.position().revision()))));
+        compact();
+    }
+
+    StorePosition position() {
+        return new StorePosition(era, revision);
+    }
 
     void write(String key, String value) {
         revision++;
-        Item item = new Item(key, Buffer.buffer(value), revision);
+        Item item = new Item(key, Buffer.buffer(value), position());
         items.put(key, item);
-        history.add(new Change(key, revision, Optional.of(item.value())));
+        history.add(new Change(key, position(), Optional.of(item.value())));
         wake();
     }
 
     void remove(String key) {
         revision++;
         items.remove(key);
-        history.add(new Change(key, revision, Optional.empty()));
+        history.add(new Change(key, position(), Optional.empty()));
         wake();
     }
 
@@ -71,7 +98,7 @@
     void completeWatches() {
         List<Waiting> all = new ArrayList<>(waiting);
         waiting.clear();
-        all.forEach(each -> each.promise().complete(new Changes(List.of(), revision)));
+        all.forEach(each -> each.promise().complete(new Changes(List.of(), position())));
     }
 
     private void wake() {
@@ -84,11 +111,12 @@
         }
     }
 
-    private Changes changes(String prefix, long after) {
+    private Changes changes(String prefix, StorePosition after) {
         List<Change> found = history.stream()
-                .filter(change -> change.revision() > after && change.key().startsWith(prefix))
+                .filter(change ->
+                        change.position().isAfter(after) && change.key().startsWith(prefix))
                 .toList();
-        return new Changes(found, revision);
+        return new Changes(found, position());
     }
 
     private <T> Future<T> unavailable() {
@@ -104,15 +132,15 @@
         List<Item> found = items.values().stream()
                 .filter(item -> item.key().startsWith(prefix))
                 .toList();
-        return Future.succeededFuture(new Range(found, revision));
+        return Future.succeededFuture(new Range(found, position()));
     }
 
     @Override
-    public Future<Changes> watch(String prefix, long after, int waitMillis) {
+    public Future<Changes> watch(String prefix, StorePosition after, int waitMillis) {
         if (down) {
             return unavailable();
         }
-        if (after < compactedRevision) {
+        if (after.era() != era || after.revision() < compactedRevision) {
             return Future.failedFuture(new EndiveholdException(ErrorType.STORE_HISTORY_GONE, after));
         }
         Changes changes = changes(prefix, after);
@@ -125,22 +153,22 @@
     }
 
     @Override
-    public Future<Long> grantLease(int ttlMillis) {
-        return Future.succeededFuture(1L);
+    public Future<StoreLease> grantLease(int ttlMillis) {
+        return Future.succeededFuture(new StoreLease(era, 1));
     }
 
     @Override
-    public Future<Void> renewLease(long lease) {
+    public Future<Void> renewLease(StoreLease lease) {
         return Future.succeededFuture();
     }
 
     @Override
-    public Future<Void> revokeLease(long lease) {
+    public Future<Void> revokeLease(StoreLease lease) {
         return Future.succeededFuture();
     }
 
     @Override
-    public Future<Void> put(String key, Buffer value, long lease) {
+    public Future<Void> put(String key, Buffer value, StoreLease lease) {
         write(key, value.toString());
         return Future.succeededFuture();
     }
--- a/relay/src/test/java/org/endivehold/relay/state/FleetStateTest.java
+++ b/relay/src/test/java/org/endivehold/relay/state/FleetStateTest.java
@@ -10,12 +10,14 @@
 import java.util.TreeSet;
 import org.endivehold.error.EndiveholdException;
 import org.endivehold.error.ErrorType;
+import org.endivehold.relay.limit.UpstreamAvailability;
+import org.endivehold.relay.limit.UpstreamHealth;
 import org.endivehold.relay.route.RoutingTable;
 import org.endivehold.relay.route.UpstreamEntry;
 import org.junit.jupiter.api.Test;
 
 class FleetStateTest {
-    /** Decodes upstream entries of the form {@code ZONE STATE} and configurations that consist of a version. */
+    /** Decodes upstream entries of the form {@code ZONE STATE [START]} and configurations that consist of a version. */
     private static final class PlainTextDecoder implements StoreDecoder {
         @Override
         public String operatorPrefix() {
@@ -54,20 +56,28 @@
         @Override
         public UpstreamEntry upstream(String id, Buffer value) throws EndiveholdException {
             String[] words = value.toString().split(" ", -1);
-            if (words.length != 2) {
+            if (words.length < 2) {
                 throw new EndiveholdException(ErrorType.CONFIG_INVALID, value);
             }
             SocketAddress address = SocketAddress.inetSocketAddress(1, "10.0.0.1");
-            return new UpstreamEntry(id, "service", address, words[0], 1, words[1].equals("leaving"), 0);
+            long startedAt = words.length > 2 ? Long.parseLong(words[2]) : 0;
+            return new UpstreamEntry(id, "service", address, words[0], 1, words[1].equals("leaving"), 0, startedAt);
         }
     }
 
     private double sinceOutage = Double.POSITIVE_INFINITY;
+    private double sinceRestore = Double.POSITIVE_INFINITY;
+    private long era;
     private long revision;
-    private final FleetState state = new FleetState(new PlainTextDecoder(), () -> 0, () -> sinceOutage);
+    private final FleetState state = new FleetState(
+            new PlainTextDecoder(),
+            () -> 0,
+            new UpstreamAvailability(new UpstreamHealth()),
+            () -> sinceOutage,
+            () -> sinceRestore);
 
     private void write(String key, String value) {
-        state.written(new SharedStore.Item(key, Buffer.buffer(value), ++revision));
+        state.written(new SharedStore.Item(key, Buffer.buffer(value), new StorePosition(era, ++revision)));
     }
 
     private Set<String> usable() {
@@ -133,6 +143,65 @@
         assertEquals(Set.of(), usable());
     }
 
+    /** The copy was taken before the upstream began to leave and before the zone was evacuated. */
+    @Test
+    void aRestoredStoreDoesNotBringBackWhatWasLeavingOrEvacuated() {
+        write("s/1", "a leaving 7");
+        write("s/2", "b ready");
+        write("s/3", "a ready");
+        write("o/out/b", "{}");
+        assertEquals(Set.of("3"), usable());
+        era++;
+        sinceRestore = 0;
+        sinceOutage = 0;
+        state.removed("o/out/b");
+        write("s/1", "a ready 7");
+        assertEquals(Set.of("3"), usable());
+        write("o/out/b", "{}");
+        sinceRestore = FleetState.LAPSE_GRACE_MILLIS;
+        assertEquals(Set.of("3"), usable(), "the operators wrote the evacuation again");
+        write("s/1", "a ready 8");
+        assertEquals(Set.of("1", "3"), usable(), "a later start with the same id is not leaving");
+    }
+
+    /** The zone was taken back before the copy, which still held the evacuation, or the operators do so right after. */
+    @Test
+    void anEvacuationThatTheRestoredStoreLacksEndsAfterTheGracePeriod() {
+        write("s/2", "b ready");
+        write("o/out/b", "{}");
+        era++;
+        sinceRestore = 0;
+        state.removed("o/out/b");
+        assertEquals(Set.of(), usable());
+        sinceRestore = FleetState.LAPSE_GRACE_MILLIS;
+        assertEquals(Set.of("2"), usable());
+    }
+
+    @Test
+    void anUpstreamThatSaysThatItIsLeavingIsNotUsedUntilItStartsAgain() {
+        write("s/1", "a ready 7");
+        assertTrue(state.markLeaving("1", 7));
+        assertFalse(state.markLeaving("1", 7), "no news");
+        assertEquals(Set.of(), usable());
+        sinceOutage = 0;
+        state.removed("s/1");
+        write("s/1", "a ready 7");
+        assertEquals(Set.of(), usable());
+        write("s/1", "a ready 8");
+        assertEquals(Set.of("1"), usable());
+    }
+
+    @Test
+    void theVersionInForceNeverDecreasesOverARestore() {
+        write("o/config", "5");
+        era++;
+        revision = 0;
+        write("o/config", "4");
+        assertEquals(5, state.table().orElseThrow().version());
+        write("o/config", "6");
+        assertEquals(6, state.table().orElseThrow().version());
+    }
+
     @Test
     void isCompleteWithAConfigurationAndTheListOfUpstreams() {
         assertFalse(state.complete());
--- a/relay/src/test/java/org/endivehold/relay/state/WatchedPrefixTest.java
+++ b/relay/src/test/java/org/endivehold/relay/state/WatchedPrefixTest.java
@@ -98,18 +98,121 @@
         take(1);
         run(() -> store.down(true));
         assertEquals(1, copy.items().size());
-        long known = copy.revision();
-        SharedStore.Item item = new SharedStore.Item("s/c", Buffer.buffer("3"), known + 5);
-        run(() -> copy.replaceIfNewer(new SharedStore.Range(List.of(item), known + 5), "peer"));
+        StorePosition known = copy.position();
+        SharedStore.Item item = new SharedStore.Item("s/c", Buffer.buffer("3"), after(known, 5));
+        run(() -> copy.replaceIfNewer(new SharedStore.Range(List.of(item), after(known, 5)), "peer"));
         List<String> seen = take(2);
         assertTrue(seen.containsAll(List.of("+s/c=3", "-s/a")), seen::toString);
-        run(() -> copy.replaceIfNewer(new SharedStore.Range(List.of(), known + 4), "stale peer"));
+        run(() -> copy.replaceIfNewer(new SharedStore.Range(List.of(), after(known, 4)), "stale peer"));
         assertEquals(1, copy.items().size());
     }
 
-    private static SharedStore.Changes written(String key, String value, long revision) {
-        SharedStore.Change change = new SharedStore.Change(key, revision, Optional.of(Buffer.buffer(value)));
-        return new SharedStore.Changes(List.of(change), revision);
+    private static StorePosition after(StorePosition known, int revisions) {
+        return new StorePosition(known.era(), known.revision() + revisions);
+    }
+
+    private static SharedStore.Changes written(String key, String value, StorePosition position) {
+        SharedStore.Change change = new SharedStore.Change(key, position, Optional.of(Buffer.buffer(value)));
+        return new SharedStore.Changes(List.of(change), position);
+    }
+
+    /** The restored store gives revisions out again, beyond the one that this copy had reached. */
+    @Test
+    void followsAStoreThatWasRestoredFromAnOlderCopy() throws Exception {
+        store.write("s/a", "1");
+        FakeStore.Backup backup = store.backup();
+        run(copy::start);
+        take(1);
+        run(() -> store.write("s/a", "2"));
+        run(() -> store.write("s/b", "lost"));
+        take(2);
+        run(() -> {
+            store.restore(backup);
+            for (int i = 0; i < 5; i++) {
+                store.write("other", "x");
+            }
+            store.write("s/c", "3");
+        });
+        List<String> seen = take(3);
+        assertTrue(seen.containsAll(List.of("+s/a=1", "-s/b", "+s/c=3")), seen::toString);
+        run(() -> store.write("s/d", "4"));
+        assertEquals(List.of("+s/d=4"), take(1));
+        assertEquals(store.position(), copy.position());
+    }
+
+    /** No call fails in a restore that takes a moment; what the copy lacks gets the grace period of an outage. */
+    @Test
+    void aRestoreCountsAsTheEndOfAnOutage() throws Exception {
+        store.write("s/a", "1");
+        FakeStore.Backup backup = store.backup();
+        run(copy::start);
+        take(1);
+        run(() -> store.write("s/b", "2"));
+        take(1);
+        assertTrue(Double.isInfinite(copy.sinceOutageMillis()));
+        assertTrue(Double.isInfinite(copy.sinceRestoreMillis()));
+        run(() -> store.restore(backup));
+        assertEquals(List.of("-s/b"), take(1));
+        assertTrue(copy.sinceOutageMillis() < LIMIT_SECONDS * 1_000);
+        assertTrue(copy.sinceRestoreMillis() < LIMIT_SECONDS * 1_000);
+    }
+
+    @Test
+    void anItemThatTheRestoreDidNotChangeIsNotReportedAgain() throws Exception {
+        store.write("s/a", "1");
+        FakeStore.Backup backup = store.backup();
+        run(copy::start);
+        take(1);
+        run(() -> store.restore(backup));
+        run(() -> store.write("s/b", "2"));
+        assertEquals(List.of("+s/b=2"), take(1));
+    }
+
+    @Test
+    void followsTwoRestoresInARow() throws Exception {
+        store.write("s/a", "1");
+        FakeStore.Backup backup = store.backup();
+        run(copy::start);
+        take(1);
+        run(() -> store.write("s/a", "2"));
+        take(1);
+        run(() -> {
+            store.restore(backup);
+            store.restore(backup);
+        });
+        assertEquals(List.of("+s/a=1"), take(1));
+        assertEquals(2, copy.position().era());
+    }
+
+    /** This daemon cannot reach the store; the copy that it gets is of a newer era with smaller revisions. */
+    @Test
+    void acceptsACopyOfANewerEraFromAnotherDaemonAndNoneOfAnOlderOne() throws Exception {
+        store.write("s/a", "1");
+        run(copy::start);
+        take(1);
+        run(() -> store.down(true));
+        StorePosition known = copy.position();
+        StorePosition restored = new StorePosition(known.era() + 1, 3);
+        SharedStore.Item item = new SharedStore.Item("s/c", Buffer.buffer("3"), restored);
+        run(() -> copy.replaceIfNewer(new SharedStore.Range(List.of(item), restored), "peer"));
+        List<String> seen = take(2);
+        assertTrue(seen.containsAll(List.of("+s/c=3", "-s/a")), seen::toString);
+        run(() -> copy.replaceIfNewer(new SharedStore.Range(List.of(), after(known, 9)), "stale peer"));
+        run(() -> assertTrue(copy.applyFromPeer(written("s/a", "old", after(known, 9)), known)));
+        run(() -> assertTrue(copy.confirmByPeer(after(known, 9), known, 0)));
+        assertEquals(restored, copy.position());
+        assertEquals(1, copy.items().size());
+    }
+
+    /** A confirmation of the new era shows that this copy, whose revisions are greater, is outdated. */
+    @Test
+    void reportsThatACopyOfAnOlderEraMissesChanges() throws Exception {
+        store.write("s/a", "1");
+        run(copy::start);
+        take(1);
+        StorePosition restored = new StorePosition(copy.position().era() + 1, 3);
+        run(() -> assertFalse(copy.confirmByPeer(restored, restored, 0)));
+        run(() -> assertFalse(copy.applyFromPeer(written("s/b", "2", after(restored, 1)), restored)));
     }
 
     /** One daemon watches on behalf of many. */
@@ -118,12 +221,12 @@
         store.write("s/a", "1");
         run(copy::start);
         take(1);
-        long known = copy.revision();
-        run(() -> assertTrue(copy.confirmByPeer(known + 3, known, 0)));
+        StorePosition known = copy.position();
+        run(() -> assertTrue(copy.confirmByPeer(after(known, 3), known, 0)));
         run(store::completeWatches);
         assertEquals(0, store.watches());
-        assertEquals(known + 3, copy.revision());
-        run(() -> assertTrue(copy.applyFromPeer(written("s/b", "2", known + 5), known)));
+        assertEquals(after(known, 3), copy.position());
+        run(() -> assertTrue(copy.applyFromPeer(written("s/b", "2", after(known, 5)), known)));
         assertEquals(List.of("+s/b=2"), take(1));
         run(() -> {
             for (int i = 0; i < 5; i++) {
@@ -140,10 +243,10 @@
         store.write("s/a", "1");
         run(copy::start);
         take(1);
-        long known = copy.revision();
-        run(() -> assertFalse(copy.confirmByPeer(known + 9, known + 4, 0)));
-        run(() -> assertFalse(copy.applyFromPeer(written("s/b", "2", known + 9), known + 4)));
-        assertEquals(known, copy.revision());
+        StorePosition known = copy.position();
+        run(() -> assertFalse(copy.confirmByPeer(after(known, 9), after(known, 4), 0)));
+        run(() -> assertFalse(copy.applyFromPeer(written("s/b", "2", after(known, 9)), after(known, 4))));
+        assertEquals(known, copy.position());
     }
 
     /** Two daemons forward the same changes, one of them late. */
@@ -152,10 +255,10 @@
         store.write("s/a", "1");
         run(copy::start);
         take(1);
-        long known = copy.revision();
-        SharedStore.Change gone = new SharedStore.Change("s/a", known + 2, Optional.empty());
-        run(() -> copy.applyFromPeer(new SharedStore.Changes(List.of(gone), known + 2), known));
-        run(() -> copy.applyFromPeer(written("s/a", "old", known + 1), known));
+        StorePosition known = copy.position();
+        SharedStore.Change gone = new SharedStore.Change("s/a", after(known, 2), Optional.empty());
+        run(() -> copy.applyFromPeer(new SharedStore.Changes(List.of(gone), after(known, 2)), known));
+        run(() -> copy.applyFromPeer(written("s/a", "old", after(known, 1)), known));
         assertEquals(List.of("-s/a"), take(1));
         assertTrue(copy.items().isEmpty());
     }
