--- a/cli/src/main/java/org/endivehold/cli/RequestExplanation.java
+++ b/cli/src/main/java/org/endivehold/cli/RequestExplanation.java
@@ -36,7 +36,9 @@
             "daemon-started",
             "daemon-stopping",
             "peer-lost",
-            "upstreams-lapsed");
+            "store-restored",
+            "upstreams-lapsed",
+            "evacuations-lapsed");
     private static final Map<String, String> STEP_DESCRIPTIONS = Map.ofEntries(
             Map.entry("unreached", "no connection to the upstream: it was not sent"),
             Map.entry("refused", "the upstream said that it did not run it"),
@@ -48,6 +50,8 @@
             Map.entry("silent", "nothing came, for this many milliseconds"),
             Map.entry("gap", "the resumed stream did not go on where it had broken"),
             Map.entry("not-reserved", "memory for a part of the context was refused"),
+            Map.entry("backoff", "all engines wanted a pause, the first for this many more milliseconds"),
+            Map.entry("barred", "this engine was chosen, but may get no new work from this daemon; others were tried"),
             Map.entry("no-room", "no engine had room for as long as it could wait"),
             Map.entry("hopeless", "all engines together could not take it"),
             Map.entry("no-budget", "the share of the retry budget was spent"),
--- a/relay/src/main/java/org/endivehold/relay/serve/StreamRequestHandler.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/StreamRequestHandler.java
@@ -232,7 +232,9 @@
         awaitingNextId = false;
         exchange.beginStream(attempt.responseHead().status(), attempt.responseHeaders());
         exchange.writeEvent(bytes);
-        lastEventId = id;
+        if (id.isPresent()) {
+            lastEventId = id;
+        }
     }
 
     @Override
@@ -316,8 +318,13 @@
         if (exchange.ended()) {
             return;
         }
-        if (sends >= MAX_SENDS || (takesBudget && !takeRetry())) {
-            exchange.addStep(takesBudget ? "no-budget" : "no-sends");
+        if (sends >= MAX_SENDS) {
+            exchange.addStep("no-sends");
+            giveUp(type, 0);
+            return;
+        }
+        if (takesBudget && !takeRetry()) {
+            exchange.addStep("no-budget");
             giveUp(type, 0);
             return;
         }
--- a/relay/src/test/java/org/endivehold/relay/serve/StreamRelayTest.java
+++ b/relay/src/test/java/org/endivehold/relay/serve/StreamRelayTest.java
@@ -75,6 +75,19 @@
         }
     }
 
+    /** An event without an id does not change the position from which a stream is resumed. */
+    @Test
+    void aStreamIsResumedAfterItsLastIdEvenIfAnEventWithoutOneFollowed() throws Exception {
+        String comment = ": still working\n\n";
+        String broken = HEAD + chunk(events(1, 2) + comment + "id: 3\nda");
+        try (RelayFixture relay = relay(broken, End.RESET, completeStream(1, 5))) {
+            RawResponse response = relay.send("POST", "/stream/x", "p", HEADERS);
+            assertEquals(events(1, 2) + comment + events(3, 5), response.body());
+            assertTrue(response.complete());
+            assertTrue(relay.requests().stream().anyMatch(request -> request.contains("last-event: 2\r\n")));
+        }
+    }
+
     @Test
     void repeatedEventsAfterResumingAreDropped() throws Exception {
         String broken = HEAD + chunk(events(1, 3));
