--- a/daemon/src/main/java/org/endivehold/daemon/entry/EntryLogging.java
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/EntryLogging.java
@@ -14,10 +14,8 @@
  * a fraction of the time of a log manager that is configured by a file.
  */
 final class EntryLogging {
-    /** Libraries of which only warnings and errors are logged. */
-    private static final String NETTY = "io.netty";
-
-    private static final Logger NETTY_LOGGER = Logger.getLogger(NETTY);
+    /** Logs only warnings and errors; kept in a field, since the log manager refers to loggers weakly. */
+    private static final Logger NETTY_LOGGER = Logger.getLogger("io.netty");
 
     private EntryLogging() {}
 
