Logs tell how old the knowledge is by which a request is refused

Change: the steps of such a request have confirmed:T, the time since the store or a watching daemon confirmed the version; store-lost has unheard_ms, configuration-in-force the era. FleetState takes the ages of the copies as one interface.

--- a/cli/src/main/java/org/endivehold/cli/RequestExplanation.java
+++ b/cli/src/main/java/org/endivehold/cli/RequestExplanation.java
@@ -58,7 +58,8 @@
             Map.entry("no-sends", "it had been sent as often as it may"),
             Map.entry("timeout", "the route's timeout or the caller's deadline came"),
             Map.entry("request-broken", "the caller's request broke off"),
-            Map.entry("version", "decided by this version of the configuration"));
+            Map.entry("version", "decided by this version of the configuration"),
+            Map.entry("confirmed", "so many milliseconds ago that version was confirmed to be the newest"));
 
     private final List<LogLine> lines;
     private final String request;
--- a/daemon/src/main/java/org/endivehold/daemon/entry/EntryDaemon.java
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/EntryDaemon.java
@@ -33,6 +33,7 @@
 import org.endivehold.relay.serve.RelayBounds;
 import org.endivehold.relay.serve.RelayContext;
 import org.endivehold.relay.serve.RelayMetrics;
+import org.endivehold.relay.state.CopyAges;
 import org.endivehold.relay.state.FleetState;
 import org.endivehold.relay.state.SharedStore;
 import org.endivehold.relay.state.StoreDecoder;
@@ -84,7 +85,7 @@
         long startedAtMillis = System.currentTimeMillis();
         self = settings.name() + "#" + startedAtMillis;
         UniformRandomProvider random = RandomSource.SPLIT_MIX_64.create(startedAtMillis ^ self.hashCode());
-        fleet = new FleetState(decoder, ticker, availability, this::sinceOutageMillis, this::sinceRestoreMillis);
+        fleet = new FleetState(decoder, ticker, availability, copyAges());
         operatorEntries = new WatchedPrefix(vertx, store, decoder.operatorPrefix(), ticker, random, fleet);
         upstreamEntries = new WatchedPrefix(vertx, store, decoder.upstreamPrefix(), ticker, random, fleet);
         DaemonEntry entry = new DaemonEntry(
@@ -202,12 +203,23 @@
         copyExchange.requestNewerCopies();
     }
 
-    private double sinceOutageMillis() {
-        return upstreamEntries.outageMillis() > 0 ? 0 : upstreamEntries.sinceOutageMillis();
-    }
-
-    private double sinceRestoreMillis() {
-        return operatorEntries.sinceRestoreMillis();
+    private CopyAges copyAges() {
+        return new CopyAges() {
+            @Override
+            public double sinceOutageMillis() {
+                return upstreamEntries.outageMillis() > 0 ? 0 : upstreamEntries.sinceOutageMillis();
+            }
+
+            @Override
+            public double sinceRestoreMillis() {
+                return operatorEntries.sinceRestoreMillis();
+            }
+
+            @Override
+            public double sinceOperatorEntriesHeardMillis() {
+                return operatorEntries.sinceHeardMillis();
+            }
+        };
     }
 
     private Future<Void> runOnEventLoop(Supplier<Future<Void>> step) {
--- a/relay/src/main/java/org/endivehold/relay/serve/CallerServer.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/CallerServer.java
@@ -190,14 +190,14 @@
         String host = request.getHeader("host");
         Optional<RelayRoute> route = host == null ? Optional.empty() : routingTable.route(host, request.path());
         if (route.isEmpty()) {
-            exchange.addStep("version:" + routingTable.version());
+            addVersionSteps(exchange, routingTable);
             exchange.fail(404, ErrorType.UNKNOWN_ROUTE, 0);
             return;
         }
         Optional<Customer> customer =
                 routingTable.customer(exchange.requestHead().apiKey().orElse(null));
         if (customer.isEmpty() && routingTable.apiKeysRequired() && !route.get().publicAccess()) {
-            exchange.addStep("version:" + routingTable.version());
+            addVersionSteps(exchange, routingTable);
             exchange.fail(401, ErrorType.UNAUTHENTICATED, 0);
             return;
         }
@@ -217,6 +217,12 @@
         handler[0].start();
     }
 
+    /** Notes by which version a request is refused, and how long ago that version was confirmed to be the newest. */
+    private void addVersionSteps(Exchange exchange, RoutingTable routingTable) {
+        exchange.addStep("version:" + routingTable.version());
+        exchange.addStep("confirmed:" + Math.round(context.fleet().sinceTableConfirmedMillis()));
+    }
+
     private RequestHandler handler(Exchange exchange, HttpServerRequest request, Buffer body, RelayService service) {
         UpstreamClient.OutgoingRequest outgoing = new UpstreamClient.OutgoingRequest(
                 request.method(), request.uri(), ConnectionHeaders.strip(request.headers()), body);
--- a/relay/src/main/java/org/endivehold/relay/state/FleetState.java
+++ b/relay/src/main/java/org/endivehold/relay/state/FleetState.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.DoubleSupplier;
 import org.endivehold.error.EndiveholdException;
 import org.endivehold.misc.LogEvent;
 import org.endivehold.misc.Ticker;
@@ -37,8 +36,7 @@
     private final StoreDecoder decoder;
     private final Ticker ticker;
     private final UpstreamAvailability availability;
-    private final DoubleSupplier sinceOutageMillis;
-    private final DoubleSupplier sinceRestoreMillis;
+    private final CopyAges ages;
     private final Map<String, Upstream> upstreams = new HashMap<>();
     private final Map<String, Long> eras = new HashMap<>();
     private final Set<String> lapsed = new HashSet<>();
@@ -55,20 +53,13 @@
      * @param decoder knows the store's keys and decodes its values
      * @param ticker clock for the end of cold phases
      * @param availability learns which upstreams leave and which zones are evacuated
-     * @param sinceOutageMillis time since the end of the last store outage, in milliseconds; 0 during an outage
-     * @param sinceRestoreMillis time since the operators' entries were restored from an older copy, in milliseconds
+     * @param ages ages of this daemon's copies of the store's items
      */
-    public FleetState(
-            StoreDecoder decoder,
-            Ticker ticker,
-            UpstreamAvailability availability,
-            DoubleSupplier sinceOutageMillis,
-            DoubleSupplier sinceRestoreMillis) {
+    public FleetState(StoreDecoder decoder, Ticker ticker, UpstreamAvailability availability, CopyAges ages) {
         this.decoder = decoder;
         this.ticker = ticker;
         this.availability = availability;
-        this.sinceOutageMillis = sinceOutageMillis;
-        this.sinceRestoreMillis = sinceRestoreMillis;
+        this.ages = ages;
     }
 
     /** Adds a listener that runs after each change. */
@@ -86,6 +77,11 @@
         return Optional.ofNullable(table);
     }
 
+    @Override
+    public double sinceTableConfirmedMillis() {
+        return ages.sinceOperatorEntriesHeardMillis();
+    }
+
     @Override
     public Collection<Upstream> upstreams(String service) {
         dropLapsed();
@@ -155,6 +151,7 @@
             table = decoded;
             LogEvent.of("configuration-in-force")
                     .with("version", decoded.version())
+                    .with("era", item.position().era())
                     .with("revision", item.position().revision())
                     .with("routes", decoded.size())
                     .info(log);
@@ -232,7 +229,7 @@
     }
 
     private void evacuationRemoved(String zone) {
-        boolean kept = sinceRestoreMillis.getAsDouble() < LAPSE_GRACE_MILLIS;
+        boolean kept = ages.sinceRestoreMillis() < LAPSE_GRACE_MILLIS;
         LogEvent.of("zone-in").with("zone", zone).with("kept_out", kept).info(log);
         if (kept) {
             lapsedEvacuations.add(zone);
@@ -246,7 +243,7 @@
         if (!upstreams.containsKey(id)) {
             return;
         }
-        double sinceOutage = sinceOutageMillis.getAsDouble();
+        double sinceOutage = ages.sinceOutageMillis();
         boolean kept =
                 sinceOutage < LAPSE_GRACE_MILLIS && !upstreams.get(id).entry().leaving();
         LogEvent.of("upstream-vanished")
@@ -269,13 +266,13 @@
 
     /** Removes vanished entries after the grace period, which begins at the end of the outage or at the restore. */
     private void dropLapsed() {
-        if (!lapsedEvacuations.isEmpty() && sinceRestoreMillis.getAsDouble() >= LAPSE_GRACE_MILLIS) {
+        if (!lapsedEvacuations.isEmpty() && ages.sinceRestoreMillis() >= LAPSE_GRACE_MILLIS) {
             LogEvent.of("evacuations-lapsed").with("zones", lapsedEvacuations).info(log);
             lapsedEvacuations.forEach(availability::takeBack);
             lapsedEvacuations.clear();
             indexed = false;
         }
-        if (!lapsed.isEmpty() && sinceOutageMillis.getAsDouble() >= LAPSE_GRACE_MILLIS) {
+        if (!lapsed.isEmpty() && ages.sinceOutageMillis() >= LAPSE_GRACE_MILLIS) {
             LogEvent.of("upstreams-lapsed").with("upstreams", lapsed).info(log);
             lapsed.forEach(this::forget);
             lapsed.clear();
--- a/relay/src/main/java/org/endivehold/relay/state/FleetView.java
+++ b/relay/src/main/java/org/endivehold/relay/state/FleetView.java
@@ -12,6 +12,9 @@
     /** Returns the configuration in force; empty until one has been read. */
     Optional<RoutingTable> table();
 
+    /** Returns the time since the configuration was last confirmed to be the newest one, in milliseconds. */
+    double sinceTableConfirmedMillis();
+
     /** Returns the usable upstreams of a service: registered, not leaving, and in no evacuated availability zone. */
     Collection<Upstream> upstreams(String service);
 
--- a/relay/src/main/java/org/endivehold/relay/state/WatchedPrefix.java
+++ b/relay/src/main/java/org/endivehold/relay/state/WatchedPrefix.java
@@ -58,6 +58,7 @@
     private double outageEndedAt = Double.NEGATIVE_INFINITY;
     private double restoredAt = Double.NEGATIVE_INFINITY;
     private double confirmedAt = Double.NEGATIVE_INFINITY;
+    private double heardAt = Double.NEGATIVE_INFINITY;
     private double peerConfirmedUntil = Double.NEGATIVE_INFINITY;
     private boolean closed;
 
@@ -123,6 +124,14 @@
         return outageSince < 0 ? 0 : ticker.millis() - outageSince;
     }
 
+    /**
+     * Returns the time since the store, or a daemon that watches it, last confirmed this copy, in milliseconds;
+     * infinite if neither did.
+     */
+    public double sinceHeardMillis() {
+        return ticker.millis() - heardAt;
+    }
+
     /** Returns the time since the end of the last store outage, in milliseconds; infinite if there was none. */
     public double sinceOutageMillis() {
         return ticker.millis() - outageEndedAt;
@@ -232,6 +241,7 @@
     /** Ends the outage, if there is one: the store has answered this daemon or a daemon that confirmed its copy. */
     private void answered(String from) {
         failures = 0;
+        heardAt = ticker.millis();
         if (outageSince >= 0) {
             LogEvent.of("store-regained")
                     .with("prefix", prefix)
@@ -258,6 +268,7 @@
             LogEvent.of("store-lost")
                     .with("prefix", prefix)
                     .with("revision", position().revision())
+                    .with("unheard_ms", Math.round(Math.min(sinceHeardMillis(), Integer.MAX_VALUE)))
                     .with("reason", cause.getMessage())
                     .warn(log);
         }
--- a/relay/src/test/java/org/endivehold/relay/schedule/SharedSchedulerTest.java
+++ b/relay/src/test/java/org/endivehold/relay/schedule/SharedSchedulerTest.java
@@ -59,6 +59,11 @@
             return Optional.of(table);
         }
 
+        @Override
+        public double sinceTableConfirmedMillis() {
+            return 0;
+        }
+
         @Override
         public Collection<Upstream> upstreams(String service) {
             return List.of(upstream("e1").orElseThrow(), upstream("e2").orElseThrow());
--- a/relay/src/test/java/org/endivehold/relay/serve/RelayFixture.java
+++ b/relay/src/test/java/org/endivehold/relay/serve/RelayFixture.java
@@ -194,6 +194,11 @@
         return Optional.of(table);
     }
 
+    @Override
+    public double sinceTableConfirmedMillis() {
+        return 0;
+    }
+
     @Override
     public Collection<Upstream> upstreams(String service) {
         List<ScriptedUpstream> all = service.equals("plain") ? plainUpstreams : engines;
--- a/relay/src/test/java/org/endivehold/relay/state/FleetStateTest.java
+++ b/relay/src/test/java/org/endivehold/relay/state/FleetStateTest.java
@@ -70,11 +70,22 @@
     private long era;
     private long revision;
     private final FleetState state = new FleetState(
-            new PlainTextDecoder(),
-            () -> 0,
-            new UpstreamAvailability(new UpstreamHealth()),
-            () -> sinceOutage,
-            () -> sinceRestore);
+            new PlainTextDecoder(), () -> 0, new UpstreamAvailability(new UpstreamHealth()), new CopyAges() {
+                @Override
+                public double sinceOutageMillis() {
+                    return sinceOutage;
+                }
+
+                @Override
+                public double sinceRestoreMillis() {
+                    return sinceRestore;
+                }
+
+                @Override
+                public double sinceOperatorEntriesHeardMillis() {
+                    return 0;
+                }
+            });
 
     private void write(String key, String value) {
         state.written(new SharedStore.Item(key, Buffer.buffer(value), new StorePosition(era, ++revision)));
