--- a/relay/src/test/java/org/endivehold/relay/state/FleetStateTest.java
+++ b/relay/src/test/java/org/endivehold/relay/state/FleetStateTest.java
@@ -5,66 +5,13 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.net.SocketAddress;
 import java.util.Set;
 import java.util.TreeSet;
-import org.endivehold.error.EndiveholdException;
-import org.endivehold.error.ErrorType;
 import org.endivehold.relay.limit.UpstreamAvailability;
 import org.endivehold.relay.limit.UpstreamHealth;
-import org.endivehold.relay.route.RoutingTable;
-import org.endivehold.relay.route.UpstreamEntry;
 import org.junit.jupiter.api.Test;
 
 class FleetStateTest {
-    /** Decodes upstream entries of the form {@code ZONE STATE [START]} and configurations that consist of a version. */
-    private static final class PlainTextDecoder implements StoreDecoder {
-        @Override
-        public String operatorPrefix() {
-            return "o/";
-        }
-
-        @Override
-        public String upstreamPrefix() {
-            return "s/";
-        }
-
-        @Override
-        public String daemonPrefix() {
-            return "d/";
-        }
-
-        @Override
-        public String configurationKey() {
-            return "o/config";
-        }
-
-        @Override
-        public String evacuatedZonePrefix() {
-            return "o/out/";
-        }
-
-        @Override
-        public RoutingTable configuration(Buffer value) throws EndiveholdException {
-            try {
-                return RoutingTable.builder(Long.parseLong(value.toString())).build();
-            } catch (NumberFormatException e) {
-                throw new EndiveholdException(ErrorType.CONFIG_INVALID, value);
-            }
-        }
-
-        @Override
-        public UpstreamEntry upstream(String id, Buffer value) throws EndiveholdException {
-            String[] words = value.toString().split(" ", -1);
-            if (words.length < 2) {
-                throw new EndiveholdException(ErrorType.CONFIG_INVALID, value);
-            }
-            SocketAddress address = SocketAddress.inetSocketAddress(1, "10.0.0.1");
-            long startedAt = words.length > 2 ? Long.parseLong(words[2]) : 0;
-            return new UpstreamEntry(id, "service", address, words[0], 1, words[1].equals("leaving"), 0, startedAt);
-        }
-    }
-
     private double sinceOutage = Double.POSITIVE_INFINITY;
     private double sinceRestore = Double.POSITIVE_INFINITY;
     private long era;
