A watch of an older era ends with the first answer of a newer one

Callers saw refusals by an older version (401, 404) although the newer one had been acknowledged, after a restore of the store. Cause: a watch names a revision, not an era. A restored store that has given out that revision again has the point and waits for changes after it, up to 2.5 s; the version that was written again has a smaller revision, so nothing ends the wait. Fault of class: a position of one history used in another. FakeStore was more lenient than the store's protocol: it rejected each watch of an older era. Ruled out: eras compared wrongly (StoreRestoreProperties stays green with the stricter FakeStore).

--- a/relay/src/main/java/org/endivehold/relay/state/SharedStore.java
+++ b/relay/src/main/java/org/endivehold/relay/state/SharedStore.java
@@ -55,7 +55,8 @@
 
     /**
      * Waits for changes after a point, for at most {@code waitMillis}; fails with {@code STORE_HISTORY_GONE} if the
-     * store does not have that point, in particular after a restore.
+     * store does not have that point, in particular after a restore. If a restored store has given out the same
+     * revision again, the call fails when it is answered, or as soon as another call shows the newer era.
      */
     Future<Changes> watch(String prefix, StorePosition after, int waitMillis);
 
--- a/relay/src/main/java/org/endivehold/relay/state/WatchedPrefix.java
+++ b/relay/src/main/java/org/endivehold/relay/state/WatchedPrefix.java
@@ -21,9 +21,12 @@
  *
  * <p>During a store outage the copy remains in use, and newer copies of other daemons are accepted.
  *
- * <p>A store that was restored from an older copy rejects the watch, and the range is read anew in the new era.
- * Whatever was written after that copy is missing until its authors write it again, as after an outage; so the restore
- * counts as the end of one, even if it was so short that no call failed.
+ * <p>A store that was restored from an older copy rejects the watch, and the range is read anew in the new era. A store
+ * that has given out the watched revision again does not reject it but waits; so the first watch after a failed call
+ * does not wait, and its answer shows the era.
+ *
+ * <p>Whatever was written after that copy is missing until its authors write it again, as after an outage; so the
+ * restore counts as the end of one, even if it was so short that no call failed.
  *
  * <p>In a large fleet only a few daemons watch; the others receive changes from them ({@code CopyExchange}). A daemon
  * that gets no confirmation from a watching daemon for {@value #PEER_CONFIRMATION_MILLIS} ms starts its own watch from
@@ -32,6 +35,8 @@
 public final class WatchedPrefix {
     /** Longest wait of one watch call, in milliseconds: a dead connection is detected after about this time. */
     static final int WATCH_WAIT_MILLIS = 2_500;
+    /** Wait of the first watch call after a failed call, in milliseconds. */
+    static final int CATCH_UP_WAIT_MILLIS = 1;
     /** Time after the wait by which an answer is expected, in milliseconds; the adapter's timeout is longer. */
     private static final int WATCH_ANSWER_MARGIN_MILLIS = 700;
     /** Validity of a confirmation by a watching daemon, in milliseconds: two intervals and a margin. */
@@ -221,7 +226,8 @@
                 }
             });
         } else {
-            store.watch(prefix, position(), WATCH_WAIT_MILLIS).onComplete(watched -> {
+            int waitMillis = failures > 0 ? CATCH_UP_WAIT_MILLIS : WATCH_WAIT_MILLIS;
+            store.watch(prefix, position(), waitMillis).onComplete(watched -> {
                 if (watched.succeeded()) {
                     storeAnswered();
                     apply(watched.result());
--- a/relay/src/test/java/org/endivehold/relay/state/FakeStore.java
+++ b/relay/src/test/java/org/endivehold/relay/state/FakeStore.java
@@ -30,7 +30,10 @@
         return new Backup(new TreeMap<>(items), revision);
     }
 
-    /** Restores an older copy: a new era begins, and waiting watches fail with {@code STORE_HISTORY_GONE}. */
+    /**
+     * Restores an older copy: a new era begins, and waiting watches fail with {@code STORE_HISTORY_GONE}. A later watch
+     * from a point of the older era waits if its revision was given out again, and fails when it is answered.
+     */
     void restore(Backup backup) {
         era++;
         revision = backup.revision();
@@ -98,7 +101,15 @@
     void completeWatches() {
         List<Waiting> all = new ArrayList<>(waiting);
         waiting.clear();
-        all.forEach(each -> each.promise().complete(new Changes(List.of(), position())));
+        all.forEach(each -> answer(each, new Changes(List.of(), position())));
+    }
+
+    private void answer(Waiting watch, Changes changes) {
+        if (watch.after().era() == era) {
+            watch.promise().complete(changes);
+        } else {
+            watch.promise().fail(new EndiveholdException(ErrorType.STORE_HISTORY_GONE, watch.after()));
+        }
     }
 
     private void wake() {
@@ -106,15 +117,15 @@
             Changes changes = changes(each.prefix(), each.after());
             if (!changes.changes().isEmpty()) {
                 waiting.remove(each);
-                each.promise().complete(changes);
+                answer(each, changes);
             }
         }
     }
 
     private Changes changes(String prefix, StorePosition after) {
         List<Change> found = history.stream()
-                .filter(change ->
-                        change.position().isAfter(after) && change.key().startsWith(prefix))
+                .filter(change -> change.position().revision() > after.revision()
+                        && change.key().startsWith(prefix))
                 .toList();
         return new Changes(found, position());
     }
@@ -140,16 +151,17 @@
         if (down) {
             return unavailable();
         }
-        if (after.era() != era || after.revision() < compactedRevision) {
+        if (after.revision() > revision || after.revision() < compactedRevision) {
             return Future.failedFuture(new EndiveholdException(ErrorType.STORE_HISTORY_GONE, after));
         }
+        Waiting watch = new Waiting(prefix, after, Promise.promise());
         Changes changes = changes(prefix, after);
-        if (!changes.changes().isEmpty()) {
-            return Future.succeededFuture(changes);
+        if (changes.changes().isEmpty() && waitMillis > 1) {
+            waiting.add(watch);
+        } else {
+            answer(watch, changes);
         }
-        Promise<Changes> promise = Promise.promise();
-        waiting.add(new Waiting(prefix, after, promise));
-        return promise.future();
+        return watch.promise().future();
     }
 
     @Override
