Daemons announce the configuration in force to each other

Callers saw refusals by an older version at one host while the other hosts served by the newer one. Cause: in a small fleet every daemon depended on its own watch; nobody passed on what the store had reported, and copies were requested only once a call had failed. Fault of class: one path for news that others already have. Evidence: FleetConfigurationTest.aDaemonWhoseWatchIsSilentFollowsTheOthers, failing before (older version after 2 s), green now. Ruled out: forwarding all changes as in a large fleet: entries of upstreams change some 16 times a second, so 30 connections would carry what each daemon's own watch reports anyway. Change: a daemon announces each version that it puts in force (some bytes); one that has an older version gives its own watch 150 ms and then requests the document, from one daemon at a time. ConfigurationState, taken out of FleetState, orders documents by the operators' version alone. FleetState's listeners, which nobody used, are gone. Why it works: the newest version reaches each daemon that any other daemon reaches, whatever its own connection delivers. Entries of upstreams and evacuated zones still come by each daemon's own watch.

--- a/daemon/src/main/java/org/endivehold/daemon/entry/EntryDaemon.java
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/EntryDaemon.java
@@ -18,6 +18,7 @@
 import org.endivehold.relay.limit.RetryShare;
 import org.endivehold.relay.limit.UpstreamAvailability;
 import org.endivehold.relay.limit.UpstreamHealth;
+import org.endivehold.relay.peer.ConfigurationExchange;
 import org.endivehold.relay.peer.CopyExchange;
 import org.endivehold.relay.peer.DaemonDirectory;
 import org.endivehold.relay.peer.DaemonEntry;
@@ -97,7 +98,8 @@
         copyExchange = new CopyExchange(directory, List.of(operatorEntries, upstreamEntries), mesh);
         LocalScheduler local = new LocalScheduler(vertx, ticker, random, fleet, health, jobReplicator);
         SharedScheduler scheduler = new SharedScheduler(vertx, ticker, self, local, jobReplicator, mesh);
-        dispatcher.setReceivers(scheduler, copyExchange, mesh);
+        ConfigurationExchange configurations = new ConfigurationExchange(vertx, fleet.configuration(), mesh);
+        dispatcher.setReceivers(scheduler, copyExchange, configurations, mesh);
         AvailabilityRecorder recorder =
                 new AvailabilityRecorder(fleet::markLeaving, availability, ticker, this::sendToPeers);
         orders.onAnswer(recorder);
--- a/daemon/src/main/java/org/endivehold/daemon/entry/PeerMessageDispatcher.java
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/PeerMessageDispatcher.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.endivehold.misc.Ticker;
 import org.endivehold.relay.limit.UpstreamHealth;
+import org.endivehold.relay.peer.ConfigurationExchange;
 import org.endivehold.relay.peer.CopyExchange;
 import org.endivehold.relay.peer.PeerListener;
 import org.endivehold.relay.peer.PeerMesh;
@@ -21,6 +22,7 @@
     private final Ticker ticker;
     private SharedScheduler scheduler;
     private CopyExchange copies;
+    private ConfigurationExchange configurations;
     private PeerMesh mesh;
 
     PeerMessageDispatcher(JobReplicator engines, UpstreamHealth health, FleetState fleet, Ticker ticker) {
@@ -31,12 +33,18 @@
     }
 
     /**
-     * Sets the scheduler, the exchange of store copies and the connections to other daemons. They cannot be constructor
-     * parameters, since the connections need this dispatcher, and the others need the connections.
+     * Sets the scheduler, the exchanges of store copies and of configurations, and the connections to other daemons.
+     * They cannot be constructor parameters, since the connections need this dispatcher, and the others need the
+     * connections.
      */
-    void setReceivers(SharedScheduler schedulerValue, CopyExchange copiesValue, PeerMesh meshValue) {
+    void setReceivers(
+            SharedScheduler schedulerValue,
+            CopyExchange copiesValue,
+            ConfigurationExchange configurationsValue,
+            PeerMesh meshValue) {
         scheduler = schedulerValue;
         copies = copiesValue;
+        configurations = configurationsValue;
         mesh = meshValue;
     }
 
@@ -49,7 +57,8 @@
         }
         if (scheduler.handleMessage(daemon, message)
                 || engines.handleMessage(message)
-                || copies.handle(daemon, message)) {
+                || copies.handle(daemon, message)
+                || configurations.handle(daemon, message)) {
             return;
         }
         if (message instanceof PeerMessage.UpstreamFailed failed) {
@@ -81,6 +90,7 @@
     public void onDisconnected(String daemon) {
         scheduler.daemonLost(daemon);
         engines.tracker().removeDaemon(daemon);
+        configurations.disconnected(daemon);
     }
 
     @Override
--- a/relay/src/main/java/org/endivehold/relay/peer/PeerCodec.java
+++ b/relay/src/main/java/org/endivehold/relay/peer/PeerCodec.java
@@ -39,6 +39,9 @@
     private static final int COPY_CURRENT = 20;
     private static final int COPY_CHANGED = 21;
     private static final int UPSTREAM_LEAVING = 22;
+    private static final int CONFIGURATION_ANNOUNCED = 23;
+    private static final int CONFIGURATION_REQUEST = 24;
+    private static final int CONFIGURATION_DOCUMENT = 25;
 
     private PeerCodec() {}
 
@@ -77,6 +80,12 @@
             packer.packInt(COPY_CHANGED).packString(changed.prefix());
             PeerFields.pack(packer, changed.after());
             PeerFields.pack(packer, changed.changes());
+        } else if (message instanceof PeerMessage.ConfigurationAnnounced announced) {
+            packer.packInt(CONFIGURATION_ANNOUNCED).packLong(announced.version());
+        } else if (message instanceof PeerMessage.ConfigurationRequest request) {
+            packer.packInt(CONFIGURATION_REQUEST).packLong(request.version());
+        } else if (message instanceof PeerMessage.ConfigurationDocument theirs) {
+            PeerFields.pack(packer.packInt(CONFIGURATION_DOCUMENT), theirs.document());
         } else if (message instanceof PeerMessage.UpstreamFailed failed) {
             packer.packInt(UPSTREAM_FAILED).packString(failed.upstream()).packInt(failed.ejectionMillis());
         } else if (message instanceof PeerMessage.UpstreamObserved observed) {
@@ -150,6 +159,9 @@
             case COPY_CHANGED ->
                 new PeerMessage.CopyChanged(
                         unpacker.unpackString(), PeerFields.position(unpacker), PeerFields.changes(unpacker));
+            case CONFIGURATION_ANNOUNCED -> new PeerMessage.ConfigurationAnnounced(unpacker.unpackLong());
+            case CONFIGURATION_REQUEST -> new PeerMessage.ConfigurationRequest(unpacker.unpackLong());
+            case CONFIGURATION_DOCUMENT -> new PeerMessage.ConfigurationDocument(PeerFields.binary(unpacker));
             case UPSTREAM_FAILED -> new PeerMessage.UpstreamFailed(unpacker.unpackString(), unpacker.unpackInt());
             case UPSTREAM_OBSERVED ->
                 new PeerMessage.UpstreamObserved(
--- a/relay/src/main/java/org/endivehold/relay/peer/PeerFields.java
+++ b/relay/src/main/java/org/endivehold/relay/peer/PeerFields.java
@@ -205,12 +205,12 @@
         return new SharedStore.Changes(changes, position);
     }
 
-    private static void pack(MessagePacker packer, Buffer value) throws IOException {
+    static void pack(MessagePacker packer, Buffer value) throws IOException {
         byte[] bytes = value.getBytes();
         packer.packBinaryHeader(bytes.length).writePayload(bytes);
     }
 
-    private static Buffer binary(MessageUnpacker unpacker) throws IOException {
+    static Buffer binary(MessageUnpacker unpacker) throws IOException {
         return Buffer.buffer(unpacker.readPayload(unpacker.unpackBinaryHeader()));
     }
 }
--- a/relay/src/main/java/org/endivehold/relay/peer/PeerMessage.java
+++ b/relay/src/main/java/org/endivehold/relay/peer/PeerMessage.java
@@ -1,5 +1,6 @@
 package org.endivehold.relay.peer;
 
+import io.vertx.core.buffer.Buffer;
 import java.util.List;
 import org.endivehold.relay.engine.EngineJob;
 import org.endivehold.relay.engine.JobId;
@@ -75,6 +76,22 @@
      */
     record UpstreamLeaving(String upstream, long startedAtMillis) implements PeerMessage {}
 
+    /** The sender has this version of the operators' configuration in force. */
+    record ConfigurationAnnounced(long version) implements PeerMessage {}
+
+    /**
+     * Requests the document of a newer configuration.
+     *
+     * @param version version in force at the sender, or {@link #NONE}
+     */
+    record ConfigurationRequest(long version) implements PeerMessage {
+        /** No version is in force; smaller than all versions. */
+        public static final long NONE = Long.MIN_VALUE;
+    }
+
+    /** The document of the configuration that is in force at the sender. */
+    record ConfigurationDocument(Buffer document) implements PeerMessage {}
+
     /**
      * Requests a newer copy of the store's items.
      *
--- a/relay/src/main/java/org/endivehold/relay/state/FleetState.java
+++ b/relay/src/main/java/org/endivehold/relay/state/FleetState.java
@@ -19,9 +19,9 @@
 /**
  * The state of the fleet, decoded from the store's items.
  *
- * <p>The version of the configuration in force never decreases. Entries of upstreams that vanish during an outage of
- * the store or shortly after it are kept for a grace period: their leases may have expired although the upstreams are
- * alive, and live upstreams write their entries again soon after the outage.
+ * <p>Entries of upstreams that vanish during an outage of the store or shortly after it are kept for a grace period:
+ * their leases may have expired although the upstreams are alive, and live upstreams write their entries again soon
+ * after the outage.
  *
  * <p>A store that was restored from an older copy may have lost what operators and upstreams wrote last, until they
  * write it again. So an evacuation that the copy lacks stays in effect for the same grace period, and an upstream that
@@ -42,8 +42,7 @@
     private final Set<String> lapsed = new HashSet<>();
     private final Set<String> lapsedEvacuations = new HashSet<>();
     private final Map<String, List<Upstream>> byService = new HashMap<>();
-    private final List<Runnable> listeners = new ArrayList<>();
-    private RoutingTable table;
+    private final ConfigurationState configuration;
     private boolean indexed;
     private boolean upstreamsRead;
 
@@ -60,21 +59,22 @@
         this.ticker = ticker;
         this.availability = availability;
         this.ages = ages;
+        this.configuration = new ConfigurationState(decoder);
     }
 
-    /** Adds a listener that runs after each change. */
-    public void onChange(Runnable listener) {
-        listeners.add(listener);
+    /** Returns the configuration in force, which other daemons may get from this one. */
+    public ConfigurationState configuration() {
+        return configuration;
     }
 
     @Override
     public boolean complete() {
-        return table != null && upstreamsRead;
+        return table().isPresent() && upstreamsRead;
     }
 
     @Override
     public Optional<RoutingTable> table() {
-        return Optional.ofNullable(table);
+        return configuration.table();
     }
 
     @Override
@@ -105,7 +105,7 @@
     public void written(SharedStore.Item item) {
         String key = item.key();
         if (key.equals(decoder.configurationKey())) {
-            configure(item);
+            configuration.offer(item);
         } else if (key.startsWith(decoder.evacuatedZonePrefix())) {
             String zone = key.substring(decoder.evacuatedZonePrefix().length());
             availability.evacuate(zone);
@@ -114,7 +114,7 @@
                     .with("zone", zone)
                     .with("revision", item.position().revision())
                     .info(log);
-            changed();
+            indexed = false;
         } else if (key.startsWith(decoder.upstreamPrefix())) {
             register(key.substring(decoder.upstreamPrefix().length()), item);
         }
@@ -134,33 +134,6 @@
     public void current(WatchedPrefix copy) {
         if (copy.prefix().equals(decoder.upstreamPrefix()) && !upstreamsRead) {
             upstreamsRead = true;
-            changed();
-        }
-    }
-
-    private void configure(SharedStore.Item item) {
-        try {
-            RoutingTable decoded = decoder.configuration(item.value());
-            if (table != null && decoded.version() < table.version()) {
-                LogEvent.of("configuration-older")
-                        .with("version", decoded.version())
-                        .with("in_force", table.version())
-                        .warn(log);
-                return;
-            }
-            table = decoded;
-            LogEvent.of("configuration-in-force")
-                    .with("version", decoded.version())
-                    .with("era", item.position().era())
-                    .with("revision", item.position().revision())
-                    .with("routes", decoded.size())
-                    .info(log);
-            changed();
-        } catch (EndiveholdException e) {
-            LogEvent.of("configuration-unreadable")
-                    .with("revision", item.position().revision())
-                    .with("reason", e.getMessage())
-                    .warn(log);
         }
     }
 
@@ -194,7 +167,7 @@
                     .with("reason", e.getMessage())
                     .warn(log);
         }
-        changed();
+        indexed = false;
     }
 
     /** Compares a new entry of an upstream with the known one, which may be of an earlier start or of a newer state. */
@@ -223,7 +196,7 @@
                     .with("upstream", id)
                     .with("started_at", startedAtMillis)
                     .info(log);
-            changed();
+            indexed = false;
         }
         return news;
     }
@@ -236,7 +209,7 @@
         } else {
             availability.takeBack(zone);
         }
-        changed();
+        indexed = false;
     }
 
     private void unregister(String id) {
@@ -256,7 +229,7 @@
         } else {
             forget(id);
         }
-        changed();
+        indexed = false;
     }
 
     private void forget(String id) {
@@ -292,9 +265,4 @@
         }
         indexed = true;
     }
-
-    private void changed() {
-        indexed = false;
-        listeners.forEach(Runnable::run);
-    }
 }
--- a/relay/src/test/java/org/endivehold/relay/peer/PeerCodecTest.java
+++ b/relay/src/test/java/org/endivehold/relay/peer/PeerCodecTest.java
@@ -46,6 +46,9 @@
                                     new SharedStore.Change("op/x", at(13), Optional.of(Buffer.buffer("new"))),
                                     new SharedStore.Change("op/y", at(14), Optional.empty())),
                             at(15))),
+            new PeerMessage.ConfigurationAnnounced(12),
+            new PeerMessage.ConfigurationRequest(PeerMessage.ConfigurationRequest.NONE),
+            new PeerMessage.ConfigurationDocument(Buffer.buffer("document")),
             new PeerMessage.UpstreamLeaving("a", 1_700_000_000_000L),
             new PeerMessage.Ping(),
             new PeerMessage.Bye());
--- a/relay/src/test/java/org/endivehold/relay/state/FleetConfigurationTest.java
+++ b/relay/src/test/java/org/endivehold/relay/state/FleetConfigurationTest.java
@@ -17,6 +17,7 @@
 import org.endivehold.misc.Ticker;
 import org.endivehold.relay.limit.UpstreamAvailability;
 import org.endivehold.relay.limit.UpstreamHealth;
+import org.endivehold.relay.peer.ConfigurationExchange;
 import org.endivehold.relay.peer.CopyExchange;
 import org.endivehold.relay.peer.DaemonDirectory;
 import org.endivehold.relay.peer.DaemonEntry;
@@ -81,7 +82,8 @@
         private final WatchedPrefix copy;
         private final DaemonEntry entry;
         private final PeerMesh mesh;
-        private final CopyExchange exchange;
+        private final CopyExchange copies;
+        private final ConfigurationExchange configurations;
 
         Daemon(String name, SharedStore itsStore) throws Exception {
             fleet = new FleetState(
@@ -96,13 +98,14 @@
             }
             DaemonDirectory directory = new DaemonDirectory(entry);
             mesh = new PeerMesh(vertx, Ticker.system(), directory, this);
-            exchange = new CopyExchange(directory, List.of(copy), mesh);
+            copies = new CopyExchange(directory, List.of(copy), mesh);
+            configurations = new ConfigurationExchange(vertx, fleet.configuration(), mesh);
             mesh.start().toCompletionStage().toCompletableFuture().get(LIMIT_SECONDS, TimeUnit.SECONDS);
             daemons.add(this);
             List<DaemonEntry> known = daemons.stream().map(d -> d.entry).toList();
             vertx.runOnContext(ignored -> {
                 copy.start();
-                exchange.start(vertx);
+                copies.start(vertx);
                 mesh.addDaemons(known);
             });
         }
@@ -113,7 +116,9 @@
 
         @Override
         public void onMessage(String daemon, PeerMessage message) {
-            exchange.handle(daemon, message);
+            if (!copies.handle(daemon, message)) {
+                configurations.handle(daemon, message);
+            }
         }
 
         @Override
@@ -129,7 +134,7 @@
 
         @Override
         public Optional<PeerMessage.Copy> copy(String prefix, StorePosition newerThan) {
-            return exchange.copy(prefix, newerThan);
+            return copies.copy(prefix, newerThan);
         }
     }
 
@@ -164,7 +169,6 @@
 
     /** Guards against a daemon that relies on its own watch alone, while others of a small fleet know of the change. */
     @Test
-    @Tag("known-red")
     void aDaemonWhoseWatchIsSilentFollowsTheOthers() throws Exception {
         publish(1);
         for (String name : List.of("a#1", "b#1", "c#1")) {
