Logs tell of each lost generation whether its engine ended, how far it was and what its prompt shares

Change: the parts of a prompt but its last are decoded; an attempt that is lost is logged as attempt-lost with them, with the time since its first event and with the state of the engine's process, found by one connection that is closed at once and shared by all attempts that are lost there together. Measured: tests of relay, platform and the entry daemon green; attempt-lost shows ALIVE after a reset and ENDED after a crash in them.

--- a/daemon/src/main/java/org/endivehold/daemon/entry/EntryDaemon.java
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/EntryDaemon.java
@@ -29,6 +29,8 @@
 import org.endivehold.relay.schedule.SharedScheduler;
 import org.endivehold.relay.serve.AvailabilityRecorder;
 import org.endivehold.relay.serve.CallerServer;
+import org.endivehold.relay.serve.ConnectionCheck;
+import org.endivehold.relay.serve.CrashMonitor;
 import org.endivehold.relay.serve.Dialect;
 import org.endivehold.relay.serve.EngineMemoryClient;
 import org.endivehold.relay.serve.RelayBounds;
@@ -118,6 +120,7 @@
                 scheduler,
                 health,
                 availability,
+                new CrashMonitor(new ConnectionCheck(vertx)),
                 recorder,
                 new ColdLimit(self),
                 new RetryShare(bounds.retryRatio(), bounds.retrySlack(), bounds.retryWindowMillis()),
--- a/relay/src/main/java/org/endivehold/relay/serve/CallerRequestHead.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/CallerRequestHead.java
@@ -1,7 +1,9 @@
 package org.endivehold.relay.serve;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.endivehold.relay.crash.PromptPart;
 
 /**
  * Headers of a caller's request that the serving path evaluates.
@@ -11,6 +13,8 @@
  * @param apiKey API key of the caller, if any
  * @param promptTokens length of the prompt, in tokens; 0 if this is no generation request
  * @param outputTokens maximum length of the output, in tokens; 0 if this is no generation request
+ * @param sharedParts the parts of the prompt that other requests may share, in order; without its last part, which is
+ *     the request's own
  * @param resumeAfter id of the last event that the caller has received, if it resumes a stream
  */
 public record CallerRequestHead(
@@ -19,4 +23,10 @@
         Optional<String> apiKey,
         long promptTokens,
         long outputTokens,
-        OptionalLong resumeAfter) {}
+        List<PromptPart> sharedParts,
+        OptionalLong resumeAfter) {
+    /** Keeps an immutable copy of the parts. */
+    public CallerRequestHead {
+        sharedParts = List.copyOf(sharedParts);
+    }
+}
--- a/relay/src/main/java/org/endivehold/relay/serve/RelayContext.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/RelayContext.java
@@ -29,6 +29,7 @@
  * @param scheduler decides when and on which engines generation requests run
  * @param health failures and speed of upstreams, as this daemon's requests and reports of other daemons show them
  * @param availability why upstreams may not get new work
+ * @param crashes finds out whether upstreams ended under attempts that were lost
  * @param answerListener is notified of the head of each upstream's answer
  * @param coldLimit this daemon's share of the request rate of cold upstreams
  * @param retryShare this daemon's share of the retry budget
@@ -47,6 +48,7 @@
         EngineScheduler scheduler,
         UpstreamHealth health,
         UpstreamAvailability availability,
+        CrashMonitor crashes,
         UpstreamAnswerListener answerListener,
         ColdLimit coldLimit,
         RetryShare retryShare,
--- a/relay/src/main/java/org/endivehold/relay/serve/StreamAttempt.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/StreamAttempt.java
@@ -5,8 +5,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import org.endivehold.misc.LogEvent;
+import org.endivehold.relay.crash.LostAttempt;
+import org.endivehold.relay.crash.UpstreamStart;
 import org.endivehold.relay.engine.EngineJob;
 import org.endivehold.relay.engine.Placement;
 import org.endivehold.relay.route.Customer;
@@ -59,6 +62,7 @@
     private Reservation reservation;
     private AnswerFacts responseHead;
     private MultiMap responseHeaders;
+    private double firstEventAt;
     private double lastEventAt;
     private boolean eventReceived;
     private boolean ended;
@@ -131,6 +135,18 @@
         return lastEventAt;
     }
 
+    /** Returns how far this attempt, which has been lost, had come at the engine that decodes it. */
+    LostAttempt lost(Upstream decodeEngine) {
+        double now = context.now();
+        return new LostAttempt(
+                exchange.requestHead().attemptId(),
+                new UpstreamStart(decodeEngine.id(), decodeEngine.entry().startedAtMillis()),
+                exchange.requestHead().sharedParts(),
+                now - sentAt,
+                placement.firstTokenMillis(),
+                eventReceived ? OptionalDouble.of(now - firstEventAt) : OptionalDouble.empty());
+    }
+
     AnswerFacts responseHead() {
         return responseHead;
     }
@@ -264,6 +280,7 @@
                     .ifPresent(factor -> reportSlowdown(factor, now));
         } else {
             eventReceived = true;
+            firstEventAt = now;
             context.engineWork().firstToken(job);
             context.health().recordAnswer(job.decodeEngine(), now);
             LogEvent.of("first-event")
--- a/relay/src/main/java/org/endivehold/relay/serve/StreamRequestHandler.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/StreamRequestHandler.java
@@ -287,6 +287,8 @@
     public void broken(String cause) {
         withdrawPlacementRequest();
         watch.stop();
+        context.fleet().upstream(attempt.job().decodeEngine()).ifPresent(engine -> context.crashes()
+                .investigate(attempt.lost(engine), engine));
         markFailed(attempt.job().decodeEngine());
         boolean mayRetry = mayResume();
         possibleRuns++;
--- a/relay/src/test/java/org/endivehold/relay/serve/RelayFixture.java
+++ b/relay/src/test/java/org/endivehold/relay/serve/RelayFixture.java
@@ -35,13 +35,13 @@
 import org.endivehold.relay.state.FleetView;
 import org.endivehold.relay.state.Upstream;
 
-/** A relay on the loopback interface with scripted upstreams: two of a plain service and two engines. */
+/** A relay on the loopback interface with scripted upstreams: two of a plain service and two engines or more. */
 final class RelayFixture implements AutoCloseable, FleetView {
     static final int TIMEOUT_MILLIS = 1_500;
     private static final EngineProfile PROFILE = new EngineProfile(4, 100_000, 10, 0.5, 0, 0, 1_000, 0, 2_048);
 
     final List<ScriptedUpstream> plainUpstreams = List.of(new ScriptedUpstream(), new ScriptedUpstream());
-    final List<ScriptedUpstream> engines = List.of(new ScriptedUpstream(), new ScriptedUpstream());
+    final List<ScriptedUpstream> engines = new ArrayList<>();
     final List<String> memoryCommands = new ArrayList<>();
     final List<PeerMessage> peerMessages = new CopyOnWriteArrayList<>();
     private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
@@ -58,6 +58,14 @@
     private int completenessChecks;
 
     RelayFixture() throws Exception {
+        this(2);
+    }
+
+    /** Creates a relay with a number of engines. */
+    RelayFixture(int engineCount) throws Exception {
+        for (int i = 0; i < engineCount; i++) {
+            engines.add(new ScriptedUpstream());
+        }
         table = RoutingTable.builder(1)
                 .route(route("/safe/", RequestKind.SAFE, "plain", 2, false))
                 .route(route("/unsafe/", RequestKind.UNSAFE, "plain", 1, false))
@@ -110,6 +118,7 @@
                 new LocalScheduler(vertx, ticker, random, this, health, work),
                 health,
                 availability,
+                new CrashMonitor(new ConnectionCheck(vertx)),
                 new AvailabilityRecorder(availability::markLeaving, availability, ticker, peerMessages::add),
                 new ColdLimit("d"),
                 new RetryShare(1, 100, 10_000),
--- a/relay/src/test/java/org/endivehold/relay/serve/ScriptedUpstream.java
+++ b/relay/src/test/java/org/endivehold/relay/serve/ScriptedUpstream.java
@@ -27,7 +27,9 @@
         /** Closed with a TCP reset. */
         RESET,
         /** Left open without further bytes until the relay closes it. */
-        SILENT
+        SILENT,
+        /** Closed with a TCP reset, as the process ends; nothing listens on its port any more. */
+        CRASH
     }
 
     /** A reply; {@code ATTEMPT} in its bytes is replaced by the attempt id of the request. */
@@ -103,7 +105,10 @@
             byte[] bytes = reply.bytes().replace("ATTEMPT", attempt).getBytes(StandardCharsets.UTF_8);
             socket.getOutputStream().write(bytes);
             socket.getOutputStream().flush();
-            if (reply.end() == End.RESET) {
+            if (reply.end() == End.CRASH) {
+                server.close();
+            }
+            if (reply.end() == End.RESET || reply.end() == End.CRASH) {
                 awaitRead(socket);
                 socket.setSoLinger(true, 0);
             } else if (reply.end() == End.SILENT) {
--- a/relay/src/test/java/org/endivehold/relay/serve/TestHeaderCodec.java
+++ b/relay/src/test/java/org/endivehold/relay/serve/TestHeaderCodec.java
@@ -1,9 +1,12 @@
 package org.endivehold.relay.serve;
 
 import io.vertx.core.MultiMap;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
+import java.util.stream.Stream;
+import org.endivehold.relay.crash.PromptPart;
 
 /** Header names of the tests, shorter than those of the platform. */
 final class TestHeaderCodec implements Dialect {
@@ -15,6 +18,11 @@
                 Optional.ofNullable(headers.get("key")),
                 number(headers.get("prompt")).orElse(0),
                 number(headers.get("output")).orElse(0),
+                headers.contains("parts")
+                        ? Stream.of(headers.get("parts").split(","))
+                                .map(PromptPart::new)
+                                .toList()
+                        : List.of(),
                 number(headers.get("last-event")));
     }
 
