Bytes without end from an engine are cut off at a mebibyte

Cause: the buffers for an incomplete event and for the body of an error response grew with whatever an engine sent. Evidence: AnswerEndTest, failing before for a body, an event and an error without end on a stream (39 to 80 MB were taken until the route's timeout), green now. The other cases of the test held before: heads, interim heads, chunks, trailers and garbage without end, and streams without length or chunks, which are complete only after a clean end between events. Ruled out: plain services, whose answers were bounded already. Change: an attempt whose buffer exceeds the bound is cancelled and counts as broken, which blames the engine; the step is 'oversized'.

--- a/cli/src/main/java/org/endivehold/cli/RequestExplanation.java
+++ b/cli/src/main/java/org/endivehold/cli/RequestExplanation.java
@@ -45,6 +45,7 @@
             Map.entry("failed", "the upstream ran it and failed"),
             Map.entry("broken", "the answer broke off"),
             Map.entry("partial", "the answer ended inside an event or before the first"),
+            Map.entry("oversized", "bytes without end came instead of an answer: the connection was closed"),
             Map.entry("foreign", "the answer belonged to another request"),
             Map.entry("unsigned", "the answer was not the upstream's own"),
             Map.entry("silent", "nothing came, for this many milliseconds"),
--- a/relay/src/main/java/org/endivehold/relay/serve/EventSplitter.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/EventSplitter.java
@@ -48,7 +48,12 @@
 
     /** Returns whether bytes of an incomplete event are buffered. */
     boolean hasPartialEvent() {
-        return pending.length() > 0;
+        return partialBytes() > 0;
+    }
+
+    /** Returns the number of buffered bytes of an incomplete event. */
+    int partialBytes() {
+        return pending.length();
     }
 
     private boolean atEmptyLine() {
--- a/relay/src/main/java/org/endivehold/relay/serve/StreamAttempt.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/StreamAttempt.java
@@ -44,6 +44,8 @@
         void broken(String cause);
     }
 
+    /** Largest event, and largest body of an error response, in bytes; what is larger is no answer of an engine. */
+    private static final int MAX_BUFFERED_BYTES = 1 << 20;
     /** Time since the first event after which the prompt has not ended its engine, in milliseconds. */
     private static final double SOUND_AFTER_MILLIS = 1_000;
 
@@ -270,6 +272,10 @@
         } else {
             errorBody.appendBuffer(bytes);
         }
+        if (!ended && Math.max(splitter.partialBytes(), errorBody.length()) > MAX_BUFFERED_BYTES) {
+            upstreamAttempt.cancel();
+            broken("oversized");
+        }
     }
 
     private void event(OptionalLong id, Buffer bytes) {
--- a/relay/src/test/java/org/endivehold/relay/serve/ScriptedUpstream.java
+++ b/relay/src/test/java/org/endivehold/relay/serve/ScriptedUpstream.java
@@ -28,6 +28,8 @@
         RESET,
         /** Left open without further bytes until the relay closes it. */
         SILENT,
+        /** The last line of the reply is sent again and again until the relay closes the connection. */
+        ENDLESS,
         /** Closed with a TCP reset, as the process ends; nothing listens on its port any more. */
         CRASH
     }
@@ -35,6 +37,8 @@
     /** A reply; {@code ATTEMPT} in its bytes is replaced by the attempt id of the request. */
     record Reply(String bytes, End end) {}
 
+    private static final int LINES_AT_ONCE = 100;
+
     private final ServerSocket server;
     private final Queue<Reply> replies = new ConcurrentLinkedQueue<>();
     private final List<String> requests = new CopyOnWriteArrayList<>();
@@ -95,6 +99,9 @@
     private void serve(Socket socket) {
         try (socket) {
             String request = read(socket.getInputStream());
+            if (request.isEmpty()) {
+                return;
+            }
             requests.add(request);
             Reply reply = replies.poll();
             onRequest.run();
@@ -111,6 +118,8 @@
             if (reply.end() == End.RESET || reply.end() == End.CRASH) {
                 awaitRead(socket);
                 socket.setSoLinger(true, 0);
+            } else if (reply.end() == End.ENDLESS) {
+                sendWithoutEnd(socket, bytes);
             } else if (reply.end() == End.SILENT) {
                 int next = socket.getInputStream().read();
                 closed.add("closed " + next);
@@ -120,6 +129,23 @@
         }
     }
 
+    /** Repeats the last line of some bytes until the connection fails, and records how many bytes were sent. */
+    private void sendWithoutEnd(Socket socket, byte[] bytes) {
+        String text = new String(bytes, StandardCharsets.UTF_8);
+        byte[] line = text.substring(text.lastIndexOf('\n', text.length() - 2) + 1)
+                .repeat(LINES_AT_ONCE)
+                .getBytes(StandardCharsets.UTF_8);
+        long sent = 0;
+        try {
+            while (true) {
+                socket.getOutputStream().write(line);
+                sent += line.length;
+            }
+        } catch (IOException e) {
+            closed.add("closed after " + sent);
+        }
+    }
+
     /**
      * Waits 150 ms, as a reset may overtake bytes sent before it; the relay reads loopback bytes well within this time.
      */
@@ -132,11 +158,15 @@
         }
     }
 
+    /** Reads a request; empty if the connection was closed without one, as a check of the process does. */
     private static String read(InputStream in) throws IOException {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         String head = "";
         while (!head.endsWith("\r\n\r\n")) {
             int next = in.read();
+            if (next < 0 && head.isEmpty()) {
+                return "";
+            }
             if (next < 0) {
                 throw new IOException("connection ended inside a request");
             }
