A scripted upstream that has closed refuses connections at once

Ruled out: the check itself; the kernel completed the connection. Change: closing a scripted upstream waits until that thread has ended. Conclusion: a fault of the test's upstream, traced.

--- a/relay/src/test/java/org/endivehold/relay/serve/ScriptedUpstream.java
+++ b/relay/src/test/java/org/endivehold/relay/serve/ScriptedUpstream.java
@@ -84,15 +84,15 @@
     }
 
     private void accept() {
-        while (!server.isClosed()) {
-            try {
+        try {
+            while (true) {
                 Socket socket = server.accept();
                 Thread thread = new Thread(() -> serve(socket), "scripted-connection");
                 thread.setDaemon(true);
                 thread.start();
-            } catch (IOException e) {
-                ended.countDown();
             }
+        } catch (IOException e) {
+            ended.countDown();
         }
     }
 
@@ -113,7 +113,7 @@
             socket.getOutputStream().write(bytes);
             socket.getOutputStream().flush();
             if (reply.end() == End.CRASH) {
-                server.close();
+                close();
             }
             if (reply.end() == End.RESET || reply.end() == End.CRASH) {
                 awaitRead(socket);
@@ -126,6 +126,8 @@
             }
         } catch (IOException e) {
             closed.add("closed " + e.getMessage());
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
         }
     }
 
@@ -182,8 +184,10 @@
         return lower + new String(in.readNBytes(length), StandardCharsets.UTF_8);
     }
 
+    /** Stops listening, and waits until the thread that accepts connections no longer holds the port open. */
     @Override
-    public void close() throws IOException {
+    public void close() throws IOException, InterruptedException {
         server.close();
+        ended.await();
     }
 }
