--- a/cli/src/main/java/org/endivehold/cli/RequestExplanation.java
+++ b/cli/src/main/java/org/endivehold/cli/RequestExplanation.java
@@ -36,6 +36,7 @@
             "daemon-started",
             "daemon-stopping",
             "peer-lost",
+            "paths-changed",
             "store-restored",
             "upstreams-lapsed",
             "evacuations-lapsed");
@@ -63,6 +64,13 @@
             Map.entry("no-sends", "it had been sent as often as it may"),
             Map.entry("timeout", "the route's timeout or the caller's deadline came"),
             Map.entry("request-broken", "the caller's request broke off"),
+            Map.entry("cut-off", "this daemon reaches no upstream of the service, and no other daemon took it"),
+            Map.entry("offered", "offered to this daemon, since its own does not reach the service"),
+            Map.entry("declined", "that daemon did not take it, for this reason: it did not run there"),
+            Map.entry("forwarded", "sent by way of this daemon; see its own log of the request"),
+            Map.entry("returned", "that daemon could not have it run, for this reason"),
+            Map.entry("lost", "the connection to that daemon ended or went silent: the outcome there is unknown"),
+            Map.entry("from", "this daemon does not reach the service and sent it by way of this one"),
             Map.entry("version", "decided by this version of the configuration"),
             Map.entry("confirmed", "so many milliseconds ago that version was confirmed to be the newest"));
 
--- a/daemon/src/main/java/org/endivehold/daemon/entry/EntryDaemon.java
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/EntryDaemon.java
@@ -22,6 +22,9 @@
 import org.endivehold.relay.limit.UpstreamAvailability;
 import org.endivehold.relay.limit.UpstreamHealth;
 import org.endivehold.relay.limit.UpstreamRateLimits;
+import org.endivehold.relay.path.ConnectionProbe;
+import org.endivehold.relay.path.Neighbours;
+import org.endivehold.relay.path.PathMonitor;
 import org.endivehold.relay.peer.ConfigurationExchange;
 import org.endivehold.relay.peer.CopyExchange;
 import org.endivehold.relay.peer.DaemonDirectory;
@@ -71,6 +74,8 @@
     private final JobReplicator jobReplicator;
     private final UpstreamHealth health = new UpstreamHealth();
     private final UpstreamAvailability availability;
+    private final PathMonitor paths;
+    private final Neighbours neighbours;
     private final CrashSuspects suspects;
     private final BarredTraitStore barredTraits;
     private final Registration registration;
@@ -123,13 +128,15 @@
                 decoder.barredTraitPrefix(),
                 ticker,
                 trait -> RendezvousHash.chosen(self, directory.names(), trait.toString(), BARRED_TRAIT_WRITERS));
+        paths = new PathMonitor(vertx, ticker, random, fleet, new ConnectionProbe(vertx));
+        neighbours = new Neighbours(ticker, random, new MeshPathPeers(mesh));
         suspects = new CrashSuspects(
                 (trait, turn) -> RendezvousHash.chosen(self, directory.names(), trait + "#" + turn, 1), barredTraits);
         SuspectExchange suspectExchange = new SuspectExchange(suspects, ticker, mesh);
         CrashMonitor crashes = new CrashMonitor(ticker, new ConnectionCheck(vertx), suspects, suspectExchange::spread);
         RateLimitExchange rateLimitExchange = new RateLimitExchange(rateLimits, ticker, mesh::spread);
         dispatcher.setReceivers(
-                fleet, scheduler, copyExchange, configurations, suspectExchange, rateLimitExchange, mesh);
+                fleet, scheduler, copyExchange, configurations, suspectExchange, rateLimitExchange, neighbours, mesh);
         AvailabilityRecorder recorder =
                 new AvailabilityRecorder(fleet::markLeaving, availability, rateLimitExchange, ticker, mesh::spread);
         orders.onAnswer(recorder);
@@ -148,12 +155,15 @@
                 scheduler,
                 health,
                 availability,
+                paths,
+                neighbours,
                 crashes,
                 recorder,
                 new ColdLimit(self),
                 new RetryShare(bounds.retryRatio(), bounds.retrySlack(), bounds.retryWindowMillis()),
                 daemons,
                 new RelayMetrics(registry)));
+        dispatcher.onForwardOffer(callers::offered);
         status = new StatusServer(vertx, settings, headerCodec.readinessPath(), registry, fleet::complete);
     }
 
@@ -201,6 +211,7 @@
         settings.seeds().forEach(mesh::addSeed);
         registration.start();
         barredTraits.start(suspects);
+        paths.start(neighbours::report);
         vertx.setPeriodic(MAINTENANCE_INTERVAL_MILLIS, timer -> runMaintenance());
     }
 
@@ -235,6 +246,7 @@
         health.retain(fleet.upstreamIds());
         availability.retain(fleet.upstreamIds());
         suspects.expire((double) ticker.millis());
+        neighbours.runMaintenance();
         copyExchange.requestNewerCopies();
     }
 
--- a/daemon/src/main/java/org/endivehold/daemon/entry/PeerMessageDispatcher.java
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/PeerMessageDispatcher.java
@@ -3,13 +3,16 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.BiConsumer;
 import org.endivehold.misc.Ticker;
 import org.endivehold.relay.limit.UpstreamHealth;
+import org.endivehold.relay.path.Neighbours;
 import org.endivehold.relay.peer.ConfigurationExchange;
 import org.endivehold.relay.peer.CopyExchange;
 import org.endivehold.relay.peer.PeerListener;
 import org.endivehold.relay.peer.PeerMesh;
 import org.endivehold.relay.peer.PeerMessage;
+import org.endivehold.relay.peer.PeerStream;
 import org.endivehold.relay.peer.RateLimitExchange;
 import org.endivehold.relay.peer.SuspectExchange;
 import org.endivehold.relay.schedule.JobReplicator;
@@ -28,7 +31,9 @@
     private ConfigurationExchange configurations;
     private SuspectExchange suspects;
     private RateLimitExchange rateLimits;
+    private Neighbours neighbours;
     private PeerMesh mesh;
+    private BiConsumer<PeerMessage.ForwardOffer, PeerStream> forwardReceiver;
 
     PeerMessageDispatcher(JobReplicator engines, UpstreamHealth health, Ticker ticker) {
         this.engines = engines;
@@ -37,9 +42,9 @@
     }
 
     /**
-     * Sets the state of the fleet, the scheduler, the exchanges of store copies, configurations, suspects and rate
-     * limits, and the connections to other daemons. They cannot be constructor parameters, since the connections need
-     * this dispatcher, and the others need the connections.
+     * Sets the state of the fleet, the scheduler, the exchanges of store copies, configurations, suspects, rate limits
+     * and lost paths, and the connections to other daemons. They cannot be constructor parameters, since the
+     * connections need this dispatcher, and the others need the connections.
      */
     void setReceivers(
             FleetState fleetValue,
@@ -48,6 +53,7 @@
             ConfigurationExchange configurationsValue,
             SuspectExchange suspectsValue,
             RateLimitExchange rateLimitsValue,
+            Neighbours neighboursValue,
             PeerMesh meshValue) {
         fleet = fleetValue;
         scheduler = schedulerValue;
@@ -55,9 +61,20 @@
         configurations = configurationsValue;
         suspects = suspectsValue;
         rateLimits = rateLimitsValue;
+        neighbours = neighboursValue;
         mesh = meshValue;
     }
 
+    /** Sets what takes requests that other daemons cannot deliver. */
+    void onForwardOffer(BiConsumer<PeerMessage.ForwardOffer, PeerStream> receiver) {
+        forwardReceiver = receiver;
+    }
+
+    @Override
+    public void onForwardOffer(PeerMessage.ForwardOffer offer, PeerStream stream) {
+        forwardReceiver.accept(offer, stream);
+    }
+
     @Override
     public void onMessage(String daemon, PeerMessage message) {
         if (message instanceof PeerMessage.JobDecoding decoding) {
@@ -70,7 +87,8 @@
                 || copies.handle(daemon, message)
                 || configurations.handle(daemon, message)
                 || suspects.handle(daemon, message)
-                || rateLimits.handle(daemon, message)) {
+                || rateLimits.handle(daemon, message)
+                || neighbours.handle(message)) {
             return;
         }
         if (message instanceof PeerMessage.UpstreamFailed failed) {
@@ -121,6 +139,7 @@
     public List<PeerMessage> welcomeMessages() {
         List<PeerMessage> messages = new ArrayList<>(suspects.knowledge());
         messages.addAll(rateLimits.knowledge());
+        messages.addAll(neighbours.knowledge());
         configurations.announcement().ifPresent(messages::add);
         return messages;
     }
--- a/daemon/src/test/java/org/endivehold/daemon/entry/TestFleet.java
+++ b/daemon/src/test/java/org/endivehold/daemon/entry/TestFleet.java
@@ -68,7 +68,7 @@
     private record Daemon(Vertx vertx, EntryDaemon daemon, RelaySettings settings, Map<String, UpstreamLink> links) {}
 
     TestFleet(int size) throws Exception {
-        items.put("op/config", Buffer.buffer("1"));
+        items.put("operators/configuration", Buffer.buffer("1"));
         for (int i = 0; i < SERVICE_SIZE; i++) {
             for (String service : List.of("plain", "engines")) {
                 String id = service + "-" + i;
@@ -218,7 +218,7 @@
     private static final class Decoder implements StoreDecoder {
         @Override
         public String operatorPrefix() {
-            return "op/";
+            return "operators/";
         }
 
         @Override
@@ -238,12 +238,12 @@
 
         @Override
         public String configurationKey() {
-            return "op/config";
+            return "operators/configuration";
         }
 
         @Override
         public String evacuatedZonePrefix() {
-            return "op/out/";
+            return "operators/out/";
         }
 
         @Override
--- a/relay/src/main/java/org/endivehold/relay/peer/DaemonDirectory.java
+++ b/relay/src/main/java/org/endivehold/relay/peer/DaemonDirectory.java
@@ -121,6 +121,11 @@
         return names;
     }
 
+    /** Returns all other daemons that have not expired. */
+    public Collection<DaemonEntry> others() {
+        return known.values().stream().map(Known::entry).toList();
+    }
+
     /** Returns all daemons with the time since each was last seen, in milliseconds; 0 for this one. */
     public Map<DaemonEntry, Long> ages(long now) {
         Map<DaemonEntry, Long> ages = new HashMap<>();
--- a/relay/src/main/java/org/endivehold/relay/peer/InboundPeer.java
+++ b/relay/src/main/java/org/endivehold/relay/peer/InboundPeer.java
@@ -8,7 +8,10 @@
 import org.endivehold.misc.Ticker;
 import org.jboss.logging.Logger;
 
-/** A connection that another daemon opened to send its jobs and requests; answers are sent on it as well. */
+/**
+ * A connection that another daemon opened to send its jobs and requests; answers are sent on it as well. If its first
+ * message offers a request to be forwarded, the connection becomes a {@link PeerStream}.
+ */
 final class InboundPeer {
     /** Interval between checks for a timeout of the other side, in milliseconds. */
     private static final int WATCHDOG_INTERVAL_MILLIS = 700;
@@ -67,6 +70,9 @@
                             hello.daemon().host() + ":" + hello.daemon().port())
                     .info(log);
             mesh.inboundOpened(this, hello.daemon());
+        } else if (message instanceof PeerMessage.ForwardOffer offer && daemon.isEmpty()) {
+            vertx.cancelTimer(watchdog);
+            listener.onForwardOffer(offer, new PeerStream(socket));
         } else if (message instanceof PeerMessage.Ping ping) {
             mesh.peerAlive(daemon);
             send(List.of(ping));
--- a/relay/src/main/java/org/endivehold/relay/peer/PeerCodec.java
+++ b/relay/src/main/java/org/endivehold/relay/peer/PeerCodec.java
@@ -46,6 +46,15 @@
     private static final int TRAITS_SOUND = 27;
     private static final int RATE_LIMIT_ANNOUNCED = 28;
     private static final int LIMITED_REQUEST_SENT = 29;
+    private static final int PATHS_REPORTED = 30;
+    private static final int FORWARD_OFFER = 31;
+    private static final int FORWARD_ACCEPTED = 32;
+    private static final int FORWARD_DECLINED = 33;
+    private static final int FORWARDED_REQUEST = 34;
+    private static final int FORWARDED_HEAD = 35;
+    private static final int FORWARDED_BYTES = 36;
+    private static final int FORWARDED_END = 37;
+    private static final int FORWARDED_FAILURE = 38;
 
     private PeerCodec() {}
 
@@ -132,6 +141,31 @@
         } else if (message instanceof PeerMessage.PlacementRefused refused) {
             PeerFields.pack(packer.packInt(PLACEMENT_REFUSED), refused.id());
             packer.packDouble(refused.retryAfterMillis());
+        } else {
+            packForward(packer, message);
+        }
+    }
+
+    private static void packForward(MessagePacker packer, PeerMessage message) throws IOException {
+        if (message instanceof PeerMessage.PathsReported report) {
+            ForwardFields.pack(packer.packInt(PATHS_REPORTED), report);
+        } else if (message instanceof PeerMessage.ForwardOffer offer) {
+            packer.packInt(FORWARD_OFFER).packString(offer.daemon());
+            packer.packString(offer.service()).packLong(offer.version());
+        } else if (message instanceof PeerMessage.ForwardAccepted) {
+            packer.packInt(FORWARD_ACCEPTED);
+        } else if (message instanceof PeerMessage.ForwardDeclined declined) {
+            packer.packInt(FORWARD_DECLINED).packString(declined.reason());
+        } else if (message instanceof PeerMessage.ForwardedRequest request) {
+            ForwardFields.pack(packer.packInt(FORWARDED_REQUEST), request);
+        } else if (message instanceof PeerMessage.ForwardedHead head) {
+            ForwardFields.pack(packer.packInt(FORWARDED_HEAD), head);
+        } else if (message instanceof PeerMessage.ForwardedBytes bytes) {
+            PeerFields.pack(packer.packInt(FORWARDED_BYTES), bytes.bytes());
+        } else if (message instanceof PeerMessage.ForwardedEnd) {
+            packer.packInt(FORWARDED_END);
+        } else if (message instanceof PeerMessage.ForwardedFailure failure) {
+            ForwardFields.pack(packer.packInt(FORWARDED_FAILURE), failure);
         } else {
             throw new IllegalArgumentException("no encoding for " + message);
         }
@@ -201,6 +235,23 @@
             case PLACEMENT_CHOSEN -> chosen(unpacker);
             case PLACEMENT_REFUSED ->
                 new PeerMessage.PlacementRefused(PeerFields.id(unpacker), unpacker.unpackDouble());
+            default -> unpackForward(type, unpacker);
+        };
+    }
+
+    private static PeerMessage unpackForward(int type, MessageUnpacker unpacker)
+            throws IOException, EndiveholdException {
+        return switch (type) {
+            case PATHS_REPORTED -> ForwardFields.pathsReported(unpacker);
+            case FORWARD_OFFER ->
+                new PeerMessage.ForwardOffer(unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackLong());
+            case FORWARD_ACCEPTED -> new PeerMessage.ForwardAccepted();
+            case FORWARD_DECLINED -> new PeerMessage.ForwardDeclined(unpacker.unpackString());
+            case FORWARDED_REQUEST -> ForwardFields.request(unpacker);
+            case FORWARDED_HEAD -> ForwardFields.head(unpacker);
+            case FORWARDED_BYTES -> new PeerMessage.ForwardedBytes(PeerFields.binary(unpacker));
+            case FORWARDED_END -> new PeerMessage.ForwardedEnd();
+            case FORWARDED_FAILURE -> ForwardFields.failure(unpacker);
             default -> throw new EndiveholdException(ErrorType.PEER_PROTOCOL, "?", "unknown message type " + type);
         };
     }
--- a/relay/src/main/java/org/endivehold/relay/peer/PeerListener.java
+++ b/relay/src/main/java/org/endivehold/relay/peer/PeerListener.java
@@ -26,6 +26,11 @@
         return List.of();
     }
 
+    /** A daemon offers a request that it cannot deliver, on a connection of its own; by default, it is declined. */
+    default void onForwardOffer(PeerMessage.ForwardOffer offer, PeerStream stream) {
+        stream.end(new PeerMessage.ForwardDeclined("not served here"));
+    }
+
     /** Returns the copy of the store's items with a prefix if it is newer than {@code newerThan}. */
     Optional<PeerMessage.Copy> copy(String prefix, StorePosition newerThan);
 }
--- a/relay/src/main/java/org/endivehold/relay/peer/PeerMesh.java
+++ b/relay/src/main/java/org/endivehold/relay/peer/PeerMesh.java
@@ -125,6 +125,13 @@
         }
     }
 
+    /** Passes on a message of another daemon: in a large fleet, its sender is connected to the coordinators only. */
+    public void passOn(PeerMessage message) {
+        if (!directory.usesFullMesh()) {
+            broadcastInbound(message);
+        }
+    }
+
     /** Sends a copy request to one connected daemon, chosen by {@code turn} modulo the number of open connections. */
     public void requestCopy(PeerMessage.CopyRequest request, int turn) {
         List<PeerLink> open = links.values().stream().filter(PeerLink::open).toList();
--- a/relay/src/main/java/org/endivehold/relay/peer/PeerMessage.java
+++ b/relay/src/main/java/org/endivehold/relay/peer/PeerMessage.java
@@ -2,12 +2,16 @@
 
 import io.vertx.core.buffer.Buffer;
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.endivehold.error.ErrorType;
 import org.endivehold.relay.crash.SoundTrait;
 import org.endivehold.relay.crash.SuspectTrait;
 import org.endivehold.relay.engine.EngineJob;
 import org.endivehold.relay.engine.JobId;
 import org.endivehold.relay.engine.Placement;
 import org.endivehold.relay.limit.RateLimitAnnouncement;
+import org.endivehold.relay.route.Customer;
 import org.endivehold.relay.schedule.EngineRequest;
 import org.endivehold.relay.state.SharedStore;
 import org.endivehold.relay.state.StorePosition;
@@ -148,6 +152,88 @@
      */
     record CopyChanged(String prefix, StorePosition after, SharedStore.Changes changes) implements PeerMessage {}
 
+    /**
+     * The services that a daemon does not reach.
+     *
+     * @param daemon name of the daemon
+     * @param number increases with each report of this daemon; an older report says nothing
+     * @param lostServices names of the services; empty if it reaches all
+     */
+    record PathsReported(String daemon, long number, List<String> lostServices) implements PeerMessage {}
+
+    /**
+     * First message on a connection of its own: the sender has a request that it cannot deliver.
+     *
+     * @param daemon name of the sender
+     * @param service service that has to run the request
+     * @param version version of the configuration by which the sender admitted the request
+     */
+    record ForwardOffer(String daemon, String service, long version) implements PeerMessage {}
+
+    /** The sender takes the request that it was offered. */
+    record ForwardAccepted() implements PeerMessage {}
+
+    /** The sender does not take the request that it was offered; it will not run there. */
+    record ForwardDeclined(String reason) implements PeerMessage {}
+
+    /**
+     * A request that was accepted; {@link ForwardedBytes} with its body follow.
+     *
+     * @param service service that has to run it
+     * @param method HTTP method
+     * @param uri path and query as the caller sent them
+     * @param path path without the query
+     * @param headers headers of the caller without hop-by-hop headers
+     * @param bodyBytes length of the body
+     * @param customer customer to whom the sender attributed it, if any
+     * @param remainingMillis time until the response has to be complete, in milliseconds
+     * @param resumeAfter id of the last event that the caller has received, if a stream is resumed
+     * @param sends how often it was sent to upstreams
+     * @param possibleRuns how many upstreams may have run it
+     * @param counted whether the sender has counted it for the retry budget
+     */
+    record ForwardedRequest(
+            String service,
+            String method,
+            String uri,
+            String path,
+            List<Header> headers,
+            int bodyBytes,
+            Optional<Customer> customer,
+            long remainingMillis,
+            OptionalLong resumeAfter,
+            int sends,
+            int possibleRuns,
+            boolean counted)
+            implements PeerMessage {}
+
+    /** A header of an HTTP message. */
+    record Header(String name, String value) {}
+
+    /**
+     * The head of an upstream's response to a forwarded request.
+     *
+     * @param status HTTP status
+     * @param stream whether events follow, each in a {@link ForwardedBytes}; otherwise the whole body
+     * @param headers headers of the upstream
+     */
+    record ForwardedHead(int status, boolean stream, List<Header> headers) implements PeerMessage {}
+
+    /** Bytes of the body of a forwarded request or of its response. */
+    record ForwardedBytes(Buffer bytes) implements PeerMessage {}
+
+    /** The response to a forwarded request is complete. */
+    record ForwardedEnd() implements PeerMessage {}
+
+    /**
+     * A forwarded request failed at the sender.
+     *
+     * @param status HTTP status that the sender would answer; 503 says that the request did not run
+     * @param type what failed
+     * @param retryAfterMillis time after which the caller may retry, in milliseconds; 0 for none
+     */
+    record ForwardedFailure(int status, ErrorType type, double retryAfterMillis) implements PeerMessage {}
+
     /** Keeps the connection alive; answered with another ping by the side that accepted the connection. */
     record Ping() implements PeerMessage {}
 
--- a/relay/src/main/java/org/endivehold/relay/serve/CallerServer.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/CallerServer.java
@@ -10,17 +10,13 @@
 import io.vertx.core.net.SocketAddress;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.Optional;
 import org.endivehold.error.ErrorType;
 import org.endivehold.misc.LogEvent;
-import org.endivehold.relay.route.Customer;
-import org.endivehold.relay.route.RelayRoute;
-import org.endivehold.relay.route.RelayService;
-import org.endivehold.relay.route.RequestKind;
-import org.endivehold.relay.route.RoutingTable;
+import org.endivehold.relay.peer.PeerMessage;
+import org.endivehold.relay.peer.PeerStream;
 import org.jboss.logging.Logger;
 
-/** HTTP server for callers: reads requests, finds their route and customer, and starts the handler that serves them. */
+/** HTTP server for callers: reads their requests, has them served, and drains them when the daemon stops. */
 public final class CallerServer {
     /** Longest request headers, in bytes; the configuration may set a lower limit, but it is not applied. */
     private static final int MAX_HEADER_BYTES = 65_536;
@@ -48,24 +44,24 @@
     private static final int MAX_FLEET_POLLS = 14;
     /** Longest request body while no configuration is known that sets the limit, in bytes. */
     private static final int DEFAULT_MAX_BODY_BYTES = 4 << 20;
-    /** Retry-after of requests that are refused for lack of a configuration or a service, in milliseconds. */
+    /** Retry-after of requests that are refused for lack of a configuration, in milliseconds. */
     private static final int NO_CONFIGURATION_RETRY_AFTER_MILLIS = 500;
 
     private static final Logger log = Logger.getLogger(CallerServer.class);
 
     private final RelayContext context;
     private final HttpServer server;
-    private final UpstreamClient client;
-    private final PlainUpstreamLoads plainLoads = new PlainUpstreamLoads();
+    private final RequestDispatcher dispatcher;
+    private final ForwardReceiver forwards;
+    private final ActiveRequests active = new ActiveRequests();
     private final Map<HttpConnection, Integer> requestsByConnection = new HashMap<>();
-    private int activeRequests;
     private double stoppingAt = Double.POSITIVE_INFINITY;
 
     /** Creates the server; {@link #listen} opens its port. */
     public CallerServer(RelayContext context) {
         this.context = context;
-        client =
-                new UpstreamClient(context.vertx(), context.ticker(), context.headerCodec(), context.trafficListener());
+        dispatcher = new RequestDispatcher(context);
+        forwards = new ForwardReceiver(context, dispatcher, active, () -> context.now() >= stoppingAt);
         server = context.vertx()
                 .createHttpServer(new HttpServerOptions()
                         .setTcpNoDelay(true)
@@ -82,6 +78,11 @@
         return server.listen(address).mapEmpty();
     }
 
+    /** Takes or declines a request that another daemon cannot deliver. */
+    public void offered(PeerMessage.ForwardOffer offer, PeerStream stream) {
+        forwards.offered(offer, stream);
+    }
+
     /**
      * Stops the server gradually: closes idle connections after a delay, refuses new requests later on, and completes
      * when no request is active or shortly before the grace period ends.
@@ -92,9 +93,9 @@
         Promise<Void> drained = Promise.promise();
         context.vertx().setTimer(CLOSE_IDLE_DELAY_MILLIS, timer -> closeIdle());
         context.vertx().setPeriodic(CLOSE_IDLE_DELAY_MILLIS + POLL_MILLIS, POLL_MILLIS, timer -> {
-            if (activeRequests == 0 || context.now() >= endAt) {
+            if (active.count() == 0 || context.now() >= endAt) {
                 context.vertx().cancelTimer(timer);
-                LogEvent.of("drained").with("left", activeRequests).info(log);
+                LogEvent.of("drained").with("left", active.count()).info(log);
                 drained.tryComplete();
             }
         });
@@ -122,9 +123,10 @@
     private void receive(HttpServerRequest request) {
         CallerRequestHead requestHead = context.headerCodec().parseRequest(request.headers());
         HttpConnection connection = request.connection();
-        activeRequests++;
+        active.begin();
         requestsByConnection.merge(connection, 1, Integer::sum);
-        Exchange exchange = new Exchange(context, request, requestHead, () -> requestEnded(connection));
+        Exchange exchange =
+                new Exchange(context, new HttpResponseChannel(request), requestHead, () -> requestEnded(connection));
         if (context.now() >= stoppingAt) {
             request.response().putHeader("connection", "close");
             request.response().endHandler(sent -> connection.close());
@@ -179,58 +181,21 @@
     }
 
     private void requestEnded(HttpConnection connection) {
-        activeRequests--;
+        active.end();
         requestsByConnection.computeIfPresent(connection, (c, count) -> Math.max(0, count - 1));
     }
 
     private void route(Exchange exchange, HttpServerRequest request, Buffer body) {
-        if (exchange.ended()) {
-            return;
-        }
-        RoutingTable routingTable = context.fleet().table().orElseThrow();
-        String host = request.getHeader("host");
-        Optional<RelayRoute> route = host == null ? Optional.empty() : routingTable.route(host, request.path());
-        if (route.isEmpty()) {
-            addVersionSteps(exchange, routingTable);
-            exchange.fail(404, ErrorType.UNKNOWN_ROUTE, 0);
-            return;
-        }
-        Optional<Customer> customer =
-                routingTable.customer(exchange.requestHead().apiKey().orElse(null));
-        if (customer.isEmpty() && routingTable.apiKeysRequired() && !route.get().publicAccess()) {
-            addVersionSteps(exchange, routingTable);
-            exchange.fail(401, ErrorType.UNAUTHENTICATED, 0);
-            return;
+        if (!exchange.ended()) {
+            dispatcher.dispatch(
+                    exchange,
+                    new IncomingRequest(
+                            request.path(),
+                            new UpstreamClient.OutgoingRequest(
+                                    request.method(),
+                                    request.uri(),
+                                    ConnectionHeaders.strip(request.headers()),
+                                    body)));
         }
-        String serviceName = route.get().selectService(context.random().nextDouble());
-        Optional<RelayService> service = routingTable.service(serviceName);
-        RequestHandler[] handler = new RequestHandler[1];
-        exchange.admit(route.get(), customer, () -> {
-            if (handler[0] != null) {
-                handler[0].cancel();
-            }
-        });
-        if (service.isEmpty()) {
-            exchange.refuse(ErrorType.NO_UPSTREAM, NO_CONFIGURATION_RETRY_AFTER_MILLIS);
-            return;
-        }
-        handler[0] = handler(exchange, request, body, service.get());
-        handler[0].start();
-    }
-
-    /** Notes by which version a request is refused, and how long ago that version was confirmed to be the newest. */
-    private void addVersionSteps(Exchange exchange, RoutingTable routingTable) {
-        exchange.addStep("version:" + routingTable.version());
-        exchange.addStep("confirmed:" + Math.round(context.fleet().sinceTableConfirmedMillis()));
-    }
-
-    private RequestHandler handler(Exchange exchange, HttpServerRequest request, Buffer body, RelayService service) {
-        UpstreamClient.OutgoingRequest outgoing = new UpstreamClient.OutgoingRequest(
-                request.method(), request.uri(), ConnectionHeaders.strip(request.headers()), body);
-        boolean generation = exchange.route().kind() == RequestKind.STREAM
-                && service.engine().isPresent();
-        return generation
-                ? new StreamRequestHandler(context, exchange, client, outgoing, service)
-                : new PlainRequestHandler(context, exchange, plainLoads, client, outgoing, service);
     }
 }
--- a/relay/src/main/java/org/endivehold/relay/serve/Exchange.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/Exchange.java
@@ -2,10 +2,6 @@
 
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpServerRequest;
-import io.vertx.core.http.HttpServerResponse;
-import java.util.Locale;
-import java.util.Map;
 import java.util.Optional;
 import org.endivehold.error.ErrorType;
 import org.endivehold.misc.LogEvent;
@@ -14,7 +10,7 @@
 import org.jboss.logging.Logger;
 
 /**
- * One HTTP request of a caller and the response to it.
+ * One request of a caller, which may have come by way of another daemon, and the response to it.
  *
  * <p>The response ends at the latest at the route's timeout or shortly before the caller's own deadline, whichever is
  * earlier. It is ended once; later calls that write have no effect.
@@ -26,8 +22,7 @@
     private static final Logger log = Logger.getLogger(Exchange.class);
 
     private final RelayContext context;
-    private final HttpServerRequest request;
-    private final HttpServerResponse response;
+    private final ResponseChannel channel;
     private final CallerRequestHead requestHead;
     private final double arrivedAt;
     private final Runnable onEnd;
@@ -37,20 +32,19 @@
     private Runnable onCancel = () -> {};
     private long deadlineTimer = -1;
     private boolean responseBegun;
+    private int streamStatus;
     private boolean ended;
     private double firstEventMillis = -1;
     private double lastEventMillis;
     private double longestGapMillis;
 
-    Exchange(RelayContext context, HttpServerRequest request, CallerRequestHead requestHead, Runnable onEnd) {
+    Exchange(RelayContext context, ResponseChannel channel, CallerRequestHead requestHead, Runnable onEnd) {
         this.context = context;
-        this.request = request;
-        this.response = request.response();
+        this.channel = channel;
         this.requestHead = requestHead;
         this.arrivedAt = context.now();
         this.onEnd = onEnd;
-        response.closeHandler(gone -> callerGone());
-        response.exceptionHandler(failure -> callerGone());
+        channel.onClosed(this::callerGone);
     }
 
     /** Sets the route, the customer and the action to run when the request ends early, and starts the timeout. */
@@ -115,10 +109,8 @@
             return;
         }
         responseBegun = true;
-        response.setStatusCode(status);
-        copyHeaders(ConnectionHeaders.strip(headers));
         finish(status, "answered");
-        response.end(body);
+        channel.respond(status, headers, body);
     }
 
     /** Writes the head of a streamed response; does nothing if it was written before. */
@@ -127,9 +119,8 @@
             return;
         }
         responseBegun = true;
-        response.setStatusCode(status);
-        copyHeaders(ConnectionHeaders.strip(headers));
-        response.setChunked(true);
+        streamStatus = status;
+        channel.beginStream(status, headers);
     }
 
     void writeEvent(Buffer bytes) {
@@ -143,15 +134,15 @@
             longestGapMillis = Math.max(longestGapMillis, elapsedMillis() - lastEventMillis);
         }
         lastEventMillis = elapsedMillis();
-        response.write(bytes);
+        channel.writeEvent(bytes);
     }
 
     void completeStream() {
         if (ended) {
             return;
         }
-        finish(response.getStatusCode(), "complete");
-        response.end();
+        finish(streamStatus, "complete");
+        channel.endStream();
     }
 
     /** Responds with status 503: the request has not run and will not run, so that the caller may retry it. */
@@ -169,15 +160,20 @@
         }
         finish(status, type.word());
         if (responseBegun) {
-            request.connection().close();
-            return;
-        }
-        response.setStatusCode(status);
-        response.putHeader("content-type", "application/json");
-        if (retryAfterMillis > 0) {
-            response.putHeader("retry-after", String.format(Locale.ROOT, "%.2f", retryAfterMillis / 1000));
+            channel.breakOff();
+        } else {
+            channel.fail(status, type, retryAfterMillis);
         }
-        response.end("{\"error\":\"" + type.word() + "\"}");
+    }
+
+    /** Returns whether the caller reads a stream more slowly than its events are written. */
+    boolean isCongested() {
+        return channel.isFull();
+    }
+
+    /** Sets the action that runs once when the caller has read what was written. */
+    void onDrained(Runnable action) {
+        channel.onDrained(action);
     }
 
     private void timedOut() {
@@ -197,12 +193,6 @@
         onCancel.run();
     }
 
-    private void copyHeaders(MultiMap headers) {
-        for (Map.Entry<String, String> header : headers) {
-            response.headers().add(header.getKey(), header.getValue());
-        }
-    }
-
     private void finish(int status, String outcome) {
         ended = true;
         if (deadlineTimer >= 0) {
--- /dev/null
+++ b/relay/src/main/java/org/endivehold/relay/serve/ForwardReceiver.java
@@ -0,0 +1,125 @@
+package org.endivehold.relay.serve;
+
+import io.vertx.core.MultiMap;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.BooleanSupplier;
+import org.endivehold.relay.peer.PeerMessage;
+import org.endivehold.relay.peer.PeerStream;
+
+/** Takes requests that other daemons cannot deliver, and serves them like those of this daemon's own callers. */
+final class ForwardReceiver {
+    /** Interval at which the other daemon hears that this one is alive, in milliseconds. */
+    static final long PING_MILLIS = 500;
+    /** Requests of other daemons that are served at the same time. */
+    private static final int MAX_REQUESTS = 512;
+
+    private final RelayContext context;
+    private final RequestDispatcher dispatcher;
+    private final ActiveRequests active;
+    private final BooleanSupplier stopping;
+    private int requests;
+
+    ForwardReceiver(
+            RelayContext context, RequestDispatcher dispatcher, ActiveRequests active, BooleanSupplier stopping) {
+        this.context = context;
+        this.dispatcher = dispatcher;
+        this.active = active;
+        this.stopping = stopping;
+    }
+
+    /** Accepts or declines the request that a daemon offers. */
+    void offered(PeerMessage.ForwardOffer offer, PeerStream stream) {
+        Optional<String> reason = reasonToDecline(offer);
+        if (reason.isPresent()) {
+            stream.end(new PeerMessage.ForwardDeclined(reason.get()));
+            return;
+        }
+        new Reception(offer.daemon(), stream).start();
+    }
+
+    private Optional<String> reasonToDecline(PeerMessage.ForwardOffer offer) {
+        if (stopping.getAsBoolean()) {
+            return Optional.of("stopping");
+        }
+        if (!context.fleet().complete() || context.tableVersion() < offer.version()) {
+            return Optional.of("configuration");
+        }
+        if (context.paths().isCutOff(offer.service())) {
+            return Optional.of("cut-off");
+        }
+        return requests >= MAX_REQUESTS ? Optional.of("full") : Optional.empty();
+    }
+
+    /** One accepted request, from its offer to the end of the connection. */
+    private final class Reception {
+        private final String from;
+        private final PeerStream stream;
+        private final ForwardResponseChannel channel;
+        private PeerMessage.ForwardedRequest head;
+        private final Buffer body = Buffer.buffer();
+        private long pings = -1;
+        private boolean dispatched;
+
+        Reception(String from, PeerStream stream) {
+            this.from = from;
+            this.stream = stream;
+            this.channel = new ForwardResponseChannel(stream);
+        }
+
+        void start() {
+            requests++;
+            pings = context.vertx().setPeriodic(PING_MILLIS, timer -> stream.send(new PeerMessage.Ping()));
+            stream.handle(this::received, this::closed);
+            stream.send(new PeerMessage.ForwardAccepted());
+        }
+
+        private void closed() {
+            requests--;
+            context.vertx().cancelTimer(pings);
+            channel.closed();
+        }
+
+        private void received(PeerMessage message) {
+            if (message instanceof PeerMessage.ForwardedRequest request && head == null) {
+                head = request;
+            } else if (message instanceof PeerMessage.ForwardedBytes part && head != null) {
+                body.appendBuffer(part.bytes());
+            } else {
+                stream.close();
+                return;
+            }
+            if (body.length() > head.bodyBytes()) {
+                stream.close();
+            } else if (body.length() == head.bodyBytes() && !dispatched) {
+                dispatched = true;
+                dispatch();
+            }
+        }
+
+        private void dispatch() {
+            MultiMap headers = MultiMap.caseInsensitiveMultiMap();
+            head.headers().forEach(header -> headers.add(header.name(), header.value()));
+            CallerRequestHead parsed = context.headerCodec().parseRequest(headers);
+            CallerRequestHead requestHead = new CallerRequestHead(
+                    parsed.attemptId(),
+                    OptionalLong.of(head.remainingMillis()),
+                    parsed.apiKey(),
+                    parsed.promptTokens(),
+                    parsed.outputTokens(),
+                    parsed.sharedParts(),
+                    head.resumeAfter());
+            active.begin();
+            Exchange exchange = new Exchange(context, channel, requestHead, active::end);
+            exchange.addStep("from:" + from);
+            IncomingRequest request = new IncomingRequest(
+                    head.path(),
+                    new UpstreamClient.OutgoingRequest(HttpMethod.valueOf(head.method()), head.uri(), headers, body));
+            RequestProgress progress =
+                    new RequestProgress(head.sends(), head.possibleRuns(), head.resumeAfter(), head.counted());
+            dispatcher.dispatchForwarded(exchange, request, head.customer(), head.service(), progress);
+        }
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/endivehold/relay/serve/ForwardedRequest.java
@@ -0,0 +1,364 @@
+package org.endivehold.relay.serve;
+
+import io.vertx.core.MultiMap;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetClient;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.endivehold.error.ErrorType;
+import org.endivehold.relay.peer.DaemonEntry;
+import org.endivehold.relay.peer.PeerMessage;
+import org.endivehold.relay.peer.PeerStream;
+
+/**
+ * Serves a request by way of another daemon, which reaches the upstreams of its service.
+ *
+ * <p>The request is first offered, and sent only once the other daemon has accepted it. So a daemon that is dead,
+ * frozen or cut off itself costs a short time and leaves no doubt: the request did not run, and the next daemon is
+ * asked. Once the request has been sent, the other daemon decides as for its own; what it says of the outcome is passed
+ * on. If its connection ends first, or goes silent, the outcome is unknown: only an idempotent request is sent again,
+ * and a stream is resumed after the last event that the caller has.
+ *
+ * <p>Example: daemon {@code a} offers a request to {@code b}, which has frozen; 250 ms later to {@code c}, which
+ * accepts it, and is killed after event 7. {@code a} offers the rest, after event 7, to {@code d}.
+ */
+final class ForwardedRequest implements RequestHandler {
+    /** Most daemons to which one request is offered. */
+    private static final int MAX_OFFERS = 4;
+    /** Time within which an offer has to be answered, in milliseconds. */
+    private static final long ANSWER_TIMEOUT_MILLIS = 250;
+    /** Time without a message after which a daemon that accepted a request counts as lost, in milliseconds. */
+    private static final long SILENCE_MILLIS = 3 * ForwardReceiver.PING_MILLIS + 100;
+    /** Largest response body that is accepted, in bytes. */
+    private static final int MAX_RESPONSE_BYTES = 8 << 20;
+
+    private static final int NOT_RUN_STATUS = 503;
+
+    private final RelayContext context;
+    private final Exchange exchange;
+    private final NetClient client;
+    private final IncomingRequest request;
+    private final String service;
+    private final Runnable fallback;
+    private final Set<String> asked = new HashSet<>();
+    private final EventSequence sequence;
+    private final int sends;
+    private boolean counted;
+    private boolean sentOnce;
+    private int possibleRuns;
+    private int offers;
+    private DaemonEntry daemon;
+    private PeerStream stream;
+    private boolean accepted;
+    private PeerMessage.ForwardedHead head;
+    private Buffer body = Buffer.buffer();
+    private EventSplitter splitter;
+    private long timer = -1;
+    private boolean ended;
+
+    /**
+     * Creates the handler; {@link #start} looks for a daemon.
+     *
+     * @param context components that are shared by all handlers
+     * @param exchange the request and the response to it
+     * @param client opens connections to daemons
+     * @param request the request as the caller sent it
+     * @param service service that has to run it
+     * @param progress how far it has come
+     * @param fallback runs if no daemon takes the request
+     */
+    ForwardedRequest(
+            RelayContext context,
+            Exchange exchange,
+            NetClient client,
+            IncomingRequest request,
+            String service,
+            RequestProgress progress,
+            Runnable fallback) {
+        this.context = context;
+        this.exchange = exchange;
+        this.client = client;
+        this.request = request;
+        this.service = service;
+        this.fallback = fallback;
+        this.sequence = new EventSequence(progress.lastEventId());
+        this.counted = progress.counted();
+        this.sends = progress.sends();
+        this.possibleRuns = progress.possibleRuns();
+    }
+
+    @Override
+    public void start() {
+        offerToNext();
+    }
+
+    @Override
+    public void cancel() {
+        leaveDaemon();
+        ended = true;
+    }
+
+    private void offerToNext() {
+        if (ended || exchange.ended()) {
+            return;
+        }
+        Optional<DaemonEntry> next =
+                offers < MAX_OFFERS ? context.neighbours().choose(service, asked) : Optional.empty();
+        if (next.isEmpty()) {
+            ended = true;
+            undeliverable();
+            return;
+        }
+        offers++;
+        daemon = next.get();
+        asked.add(daemon.name());
+        accepted = false;
+        context.neighbours().begun(daemon.name());
+        exchange.addStep("offered:" + daemon.name() + ":at=" + Math.round(exchange.elapsedMillis()));
+        DaemonEntry offeredTo = daemon;
+        PeerStream.open(client, daemon.address())
+                .onSuccess(opened -> opened(offeredTo, opened))
+                .onFailure(failure -> {
+                    if (offeredTo.equals(daemon) && !ended) {
+                        declined("not-connected");
+                    }
+                });
+    }
+
+    /** No daemon is left. Once one has had the request, its progress is known here only. */
+    private void undeliverable() {
+        context.metrics().forwarded("undeliverable");
+        if (!sentOnce) {
+            fallback.run();
+        } else if (possibleRuns > 0 || exchange.responseBegun()) {
+            exchange.fail(502, ErrorType.UPSTREAM_UNREACHABLE, 0);
+        } else {
+            exchange.refuse(ErrorType.UPSTREAM_UNREACHABLE, RequestDispatcher.NO_SERVICE_RETRY_AFTER_MILLIS);
+        }
+    }
+
+    private void opened(DaemonEntry offeredTo, PeerStream opened) {
+        if (!offeredTo.equals(daemon) || ended) {
+            opened.close();
+            return;
+        }
+        stream = opened;
+        opened.handle(
+                message -> {
+                    if (opened == stream) {
+                        received(message);
+                    }
+                },
+                () -> {
+                    if (opened == stream) {
+                        connectionLost("closed");
+                    }
+                });
+        opened.send(new PeerMessage.ForwardOffer(context.neighbours().self().name(), service, context.tableVersion()));
+        restartTimer(ANSWER_TIMEOUT_MILLIS);
+    }
+
+    private void restartTimer(long millis) {
+        stopTimer();
+        timer = context.vertx().setTimer(millis, fired -> {
+            timer = -1;
+            connectionLost("silent");
+        });
+    }
+
+    private void stopTimer() {
+        if (timer >= 0) {
+            context.vertx().cancelTimer(timer);
+            timer = -1;
+        }
+    }
+
+    private void received(PeerMessage message) {
+        if (accepted) {
+            restartTimer(SILENCE_MILLIS);
+        }
+        if (message instanceof PeerMessage.ForwardAccepted && !accepted) {
+            sendRequest();
+        } else if (message instanceof PeerMessage.ForwardDeclined no && !accepted) {
+            declined(no.reason());
+        } else if (message instanceof PeerMessage.ForwardedHead begun) {
+            head = begun;
+        } else if (message instanceof PeerMessage.ForwardedBytes part && head != null) {
+            bytes(part.bytes());
+        } else if (message instanceof PeerMessage.ForwardedEnd && head != null) {
+            complete();
+        } else if (message instanceof PeerMessage.ForwardedFailure failure) {
+            failed(failure);
+        }
+    }
+
+    private void sendRequest() {
+        accepted = true;
+        restartTimer(SILENCE_MILLIS);
+        head = null;
+        body = Buffer.buffer();
+        splitter = new EventSplitter(this::event);
+        sequence.beginAttempt(exchange.responseBegun());
+        exchange.addStep("forwarded:" + daemon.name() + ":at=" + Math.round(exchange.elapsedMillis()));
+        UpstreamClient.OutgoingRequest outgoing = request.outgoing();
+        stream.send(new PeerMessage.ForwardedRequest(
+                service,
+                outgoing.method().name(),
+                outgoing.uri(),
+                request.path(),
+                headers(outgoing.headers()),
+                outgoing.body().length(),
+                exchange.customer(),
+                Math.max(1, exchange.remainingMillis()),
+                sequence.lastId(),
+                sends,
+                possibleRuns,
+                counted));
+        stream.sendBytes(outgoing.body());
+        counted = true;
+        sentOnce = true;
+    }
+
+    private static List<PeerMessage.Header> headers(MultiMap headers) {
+        List<PeerMessage.Header> list = new ArrayList<>();
+        for (Map.Entry<String, String> header : headers) {
+            list.add(new PeerMessage.Header(header.getKey(), header.getValue()));
+        }
+        return list;
+    }
+
+    private void bytes(Buffer part) {
+        if (head.stream()) {
+            splitter.feed(part);
+            pauseWhileCongested();
+            return;
+        }
+        body.appendBuffer(part);
+        if (body.length() > MAX_RESPONSE_BYTES) {
+            connectionLost("oversized");
+        }
+    }
+
+    /** Stops reading from the other daemon while the caller reads more slowly. */
+    private void pauseWhileCongested() {
+        if (ended || exchange.ended() || !exchange.isCongested()) {
+            return;
+        }
+        PeerStream paused = stream;
+        paused.pause();
+        stopTimer();
+        exchange.onDrained(() -> {
+            paused.resume();
+            if (paused == stream && !ended) {
+                restartTimer(SILENCE_MILLIS);
+            }
+        });
+    }
+
+    private void event(OptionalLong id, Buffer event) {
+        if (ended || exchange.ended()) {
+            return;
+        }
+        EventSequence.Verdict verdict = sequence.next(id);
+        if (verdict == EventSequence.Verdict.GAP) {
+            connectionLost("gap");
+        } else if (verdict == EventSequence.Verdict.PASS) {
+            exchange.beginStream(head.status(), multiMap(head.headers()));
+            exchange.writeEvent(event);
+        }
+    }
+
+    private static MultiMap multiMap(List<PeerMessage.Header> headers) {
+        MultiMap map = MultiMap.caseInsensitiveMultiMap();
+        headers.forEach(header -> map.add(header.name(), header.value()));
+        return map;
+    }
+
+    private void complete() {
+        if (ended) {
+            return;
+        }
+        if (head.stream() && splitter.hasPartialEvent()) {
+            connectionLost("partial");
+            return;
+        }
+        ended = true;
+        leaveDaemon();
+        context.metrics().forwarded("answered");
+        if (head.stream()) {
+            exchange.completeStream();
+        } else {
+            exchange.respond(head.status(), multiMap(head.headers()), body);
+        }
+    }
+
+    /** The other daemon gave up: if the request did not run there for a reason of its own, another one is asked. */
+    private void failed(PeerMessage.ForwardedFailure failure) {
+        leaveDaemon();
+        context.metrics().forwarded(failure.type().word());
+        boolean mayRunElsewhere = failure.status() == NOT_RUN_STATUS
+                && possibleRuns == 0
+                && (failure.type() == ErrorType.UPSTREAM_UNREACHABLE || failure.type() == ErrorType.SHUTTING_DOWN);
+        if (mayRunElsewhere) {
+            exchange.addStep("returned:" + failure.type().word());
+            offerToNext();
+            return;
+        }
+        ended = true;
+        int status = possibleRuns > 0 && failure.status() == NOT_RUN_STATUS ? 502 : failure.status();
+        exchange.fail(status, failure.type(), failure.retryAfterMillis());
+    }
+
+    private void declined(String reason) {
+        exchange.addStep("declined:" + reason);
+        context.metrics().forwarded("declined");
+        context.neighbours().declined(daemon.name());
+        leaveDaemon();
+        offerToNext();
+    }
+
+    /** The connection to the other daemon ended, went silent or broke its protocol. */
+    private void connectionLost(String reason) {
+        if (ended) {
+            return;
+        }
+        if (!accepted) {
+            declined(reason);
+            return;
+        }
+        exchange.addStep("lost:" + reason);
+        context.metrics().forwarded("lost");
+        context.neighbours().declined(daemon.name());
+        leaveDaemon();
+        boolean mayRunAgain = exchange.route().idempotent()
+                && possibleRuns + 1 < exchange.route().maxAttempts()
+                && context.retryShare().tryTake(service, context.daemons().divisor(), context.now());
+        possibleRuns++;
+        if (mayRunAgain) {
+            offerToNext();
+        } else {
+            ended = true;
+            exchange.fail(502, ErrorType.UPSTREAM_BROKEN, 0);
+        }
+    }
+
+    /** Closes the connection to the other daemon, which ends its work on the request. */
+    private void leaveDaemon() {
+        stopTimer();
+        if (daemon != null) {
+            context.neighbours().ended(daemon.name());
+            daemon = null;
+        }
+        if (stream != null) {
+            PeerStream left = stream;
+            stream = null;
+            left.close();
+        }
+        accepted = false;
+    }
+}
--- a/relay/src/main/java/org/endivehold/relay/serve/PlainRequestHandler.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/PlainRequestHandler.java
@@ -37,6 +37,8 @@
     private final UpstreamClient client;
     private final UpstreamClient.OutgoingRequest outgoing;
     private final RelayService service;
+    private final Handover handover;
+    private final boolean counted;
     private final CrashGuard guard;
     private final Set<String> tried = new HashSet<>();
     private UpstreamAttempt attempt;
@@ -56,9 +58,15 @@
             PlainUpstreamLoads loads,
             UpstreamClient client,
             UpstreamClient.OutgoingRequest outgoing,
-            RelayService service) {
+            RelayService service,
+            RequestProgress progress,
+            Handover handover) {
         this.context = context;
         this.exchange = exchange;
+        this.handover = handover;
+        this.counted = progress.counted();
+        this.sends = progress.sends();
+        this.possibleRuns = progress.possibleRuns();
         this.loads = loads;
         this.client = client;
         this.outgoing = outgoing;
@@ -68,10 +76,16 @@
 
     @Override
     public void start() {
-        context.retryShare().recordRequest(service.name(), context.now());
+        if (!counted) {
+            context.retryShare().recordRequest(service.name(), context.now());
+        }
         dispatch();
     }
 
+    private RequestProgress progress() {
+        return new RequestProgress(sends, possibleRuns, exchange.requestHead().resumeAfter(), true);
+    }
+
     @Override
     public void cancel() {
         endAttempt();
@@ -85,6 +99,10 @@
             giveUp(ErrorType.REQUEST_BARRED, CrashGuard.RETRY_AFTER_MILLIS);
             return;
         }
+        if (context.paths().isCutOff(service.name())) {
+            giveUp(ErrorType.UPSTREAM_UNREACHABLE);
+            return;
+        }
         Optional<Upstream> chosen = choose();
         if (chosen.isEmpty()) {
             giveUp(ErrorType.NO_UPSTREAM);
@@ -124,7 +142,9 @@
                     || (candidate.cold(now) && !context.coldUpstreamHasCapacity(service, candidate))) {
                 continue;
             }
-            (context.health().ejected(candidate.id(), now) ? ejected : usable).add(candidate);
+            boolean failing = context.health().ejected(candidate.id(), now)
+                    || context.paths().isLost(candidate);
+            (failing ? ejected : usable).add(candidate);
         }
         List<Upstream> candidates = usable.isEmpty() ? ejected : usable;
         return candidates.stream()
@@ -137,13 +157,18 @@
             return;
         }
         attempt.cancel();
-        broken(new TimeoutException("no response head within the attempt timeout"));
+        TimeoutException cause = new TimeoutException("no response head within the attempt timeout");
+        if (attempt.isOpened()) {
+            broken(cause);
+        } else {
+            context.paths().recordUnreached(upstream);
+            notSent(cause);
+        }
     }
 
     @Override
     public void notSent(Throwable cause) {
         endAttempt();
-        context.health().recordFailure(upstream.id(), context.now());
         exchange.addStep("unreached");
         retryAfterNoRun("unreached", false, ErrorType.UPSTREAM_UNREACHABLE);
     }
@@ -218,7 +243,7 @@
 
     /** Retries or fails the request after an attempt that may have run. */
     private void retryAfterPossibleRun(String cause) {
-        context.health().recordFailure(upstream.id(), context.now());
+        context.recordFailure(upstream.id());
         boolean mayRetry = mayRunAgain();
         possibleRuns++;
         CrashGuard.Progress progress = new CrashGuard.Progress(context.now() - sentAt, 0, OptionalDouble.empty());
@@ -264,7 +289,7 @@
         }
         context.metrics().retried(cause);
         responseHead = null;
-        dispatch();
+        handover.tryForward(progress(), this::dispatch);
     }
 
     private void giveUp(ErrorType type) {
--- a/relay/src/main/java/org/endivehold/relay/serve/RelayContext.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/RelayContext.java
@@ -10,7 +10,10 @@
 import org.endivehold.relay.limit.RetryShare;
 import org.endivehold.relay.limit.UpstreamAvailability;
 import org.endivehold.relay.limit.UpstreamHealth;
+import org.endivehold.relay.path.Neighbours;
+import org.endivehold.relay.path.PathMonitor;
 import org.endivehold.relay.route.RelayService;
+import org.endivehold.relay.route.RoutingTable;
 import org.endivehold.relay.schedule.EngineScheduler;
 import org.endivehold.relay.schedule.JobReplicator;
 import org.endivehold.relay.state.FleetView;
@@ -30,6 +33,8 @@
  * @param scheduler decides when and on which engines generation requests run
  * @param health failures and speed of upstreams, as this daemon's requests and reports of other daemons show them
  * @param availability why upstreams may not get new work
+ * @param paths which upstreams this daemon reaches
+ * @param neighbours by way of which daemon a request is sent that this one cannot deliver
  * @param crashes finds out whether upstreams ended under attempts that were lost
  * @param trafficListener is notified of new work for upstreams and of their answers
  * @param coldLimit this daemon's share of the request rate of cold upstreams
@@ -49,6 +54,8 @@
         EngineScheduler scheduler,
         UpstreamHealth health,
         UpstreamAvailability availability,
+        PathMonitor paths,
+        Neighbours neighbours,
         CrashMonitor crashes,
         UpstreamTrafficListener trafficListener,
         ColdLimit coldLimit,
@@ -59,6 +66,18 @@
         return ticker.millis();
     }
 
+    /** Returns the version of the configuration in force; the smallest number if there is none. */
+    long tableVersion() {
+        return fleet.table().map(RoutingTable::version).orElse(Long.MIN_VALUE);
+    }
+
+    /** Records that an upstream failed; if this daemon's own paths are at fault, that says nothing of the upstream. */
+    void recordFailure(String upstream) {
+        if (paths.areOpen()) {
+            health.recordFailure(upstream, now());
+        }
+    }
+
     /** Returns the ids of a service's cold upstreams to which this daemon may send one more request now. */
     Set<String> coldUpstreamsWithCapacity(RelayService service) {
         Set<String> allowed = new HashSet<>();
--- a/relay/src/main/java/org/endivehold/relay/serve/RelayMetrics.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/RelayMetrics.java
@@ -46,6 +46,11 @@
         registry.counter("endivehold.repeats", "cause", cause).increment();
     }
 
+    /** Counts an offer of a request to another daemon, or a request that was sent by way of one, by its result. */
+    void forwarded(String result) {
+        registry.counter("endivehold.forwarded", "result", result).increment();
+    }
+
     private void record(String name, String route, String customer, double millis) {
         Timer.builder(name)
                 .tag("route", route)
--- /dev/null
+++ b/relay/src/main/java/org/endivehold/relay/serve/ResponseChannel.java
@@ -0,0 +1,46 @@
+package org.endivehold.relay.serve;
+
+import io.vertx.core.MultiMap;
+import io.vertx.core.buffer.Buffer;
+import org.endivehold.error.ErrorType;
+
+/**
+ * Carries the response to one request: to a caller over HTTP, or to the daemon that forwarded the request.
+ *
+ * <p>The response is either complete at once ({@link #respond}, {@link #fail}) or a stream ({@link #beginStream},
+ * events, then {@link #endStream} or {@link #breakOff}).
+ */
+interface ResponseChannel {
+    /** Sets the action that runs when the other side closes the connection. */
+    void onClosed(Runnable action);
+
+    /** Sends an upstream's response. */
+    void respond(int status, MultiMap headers, Buffer body);
+
+    /** Begins an upstream's stream. */
+    void beginStream(int status, MultiMap headers);
+
+    /** Sends one event of the stream. */
+    void writeEvent(Buffer event);
+
+    /** Ends the stream as complete. */
+    void endStream();
+
+    /** Closes the connection before the end of the stream, so that it does not look complete. */
+    void breakOff();
+
+    /**
+     * Responds with a failure of this system.
+     *
+     * @param status HTTP status
+     * @param type what failed
+     * @param retryAfterMillis time after which the caller may retry, in milliseconds; 0 to say nothing of it
+     */
+    void fail(int status, ErrorType type, double retryAfterMillis);
+
+    /** Returns whether the other side reads more slowly than events are written. */
+    boolean isFull();
+
+    /** Sets the action that runs once when the other side has read what was written. */
+    void onDrained(Runnable action);
+}
--- a/relay/src/main/java/org/endivehold/relay/serve/StreamRequestHandler.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/StreamRequestHandler.java
@@ -36,13 +36,14 @@
     private final UpstreamClient client;
     private final UpstreamClient.OutgoingRequest outgoing;
     private final RelayService service;
+    private final Handover handover;
+    private final boolean counted;
+    private final EventSequence sequence;
     private final CrashGuard guard;
     private final Set<String> excludedEngines = new HashSet<>();
     private Optional<JobId> pendingPlacement = Optional.empty();
     private StreamAttempt attempt;
     private SilenceWatch watch;
-    private OptionalLong lastEventId;
-    private boolean awaitingNextId;
     private int sends;
     private int possibleRuns;
 
@@ -51,22 +52,34 @@
             Exchange exchange,
             UpstreamClient client,
             UpstreamClient.OutgoingRequest outgoing,
-            RelayService service) {
+            RelayService service,
+            RequestProgress progress,
+            Handover handover) {
         this.context = context;
+        this.handover = handover;
+        this.counted = progress.counted();
+        this.sends = progress.sends();
+        this.possibleRuns = progress.possibleRuns();
+        this.sequence = new EventSequence(progress.lastEventId());
         this.exchange = exchange;
         this.client = client;
         this.outgoing = outgoing;
         this.service = service;
         this.guard = new CrashGuard(context.crashes(), exchange, outgoing);
-        this.lastEventId = exchange.requestHead().resumeAfter();
     }
 
     @Override
     public void start() {
-        context.retryShare().recordRequest(service.name(), context.now());
+        if (!counted) {
+            context.retryShare().recordRequest(service.name(), context.now());
+        }
         schedule(ErrorType.NO_UPSTREAM);
     }
 
+    private RequestProgress progress() {
+        return new RequestProgress(sends, possibleRuns, sequence.lastId(), true);
+    }
+
     @Override
     public void cancel() {
         pendingPlacement.ifPresent(context.scheduler()::withdraw);
@@ -94,6 +107,10 @@
         if (refuseBarred()) {
             return;
         }
+        if (context.paths().isCutOff(service.name())) {
+            giveUp(ErrorType.UPSTREAM_UNREACHABLE, 0);
+            return;
+        }
         double pauseMillis = context.shortestPauseMillis(service);
         if (pauseMillis > 0) {
             exchange.addStep("paused:" + Math.round(pauseMillis));
@@ -149,6 +166,7 @@
     private void requestPlacement(Set<String> excluded, boolean mayQueue, EngineScheduler.Listener listener) {
         Set<String> avoided = new HashSet<>(excluded);
         avoided.addAll(context.pausedUpstreams(service));
+        avoided.addAll(context.paths().avoidedUpstreams(service.name()));
         JobId id = context.engineWork().nextId();
         pendingPlacement = Optional.of(id);
         Set<String> coldWithCapacity = context.coldUpstreamsWithCapacity(service);
@@ -158,7 +176,7 @@
 
     private void send(EngineJob job, Placement placement) {
         sends++;
-        awaitingNextId = exchange.responseBegun();
+        sequence.beginAttempt(exchange.responseBegun());
         attempt = new StreamAttempt(
                 context,
                 exchange,
@@ -167,7 +185,7 @@
                 service.engine().orElseThrow(),
                 placement,
                 job,
-                lastEventId,
+                sequence.lastId(),
                 guard,
                 this);
         watch = new SilenceWatch(context, attempt, need(), this::attemptSilent);
@@ -183,6 +201,11 @@
             return;
         }
         StreamAttempt silent = attempt;
+        if (context.paths().isCutOff(service.name())) {
+            leaveSilent(silent);
+            retry("silent", true, ErrorType.UPSTREAM_UNREACHABLE);
+            return;
+        }
         Set<String> avoided = new HashSet<>(excludedEngines);
         avoided.add(silent.job().decodeEngine());
         requestPlacement(avoided, false, new EngineScheduler.Listener() {
@@ -213,20 +236,24 @@
             watch.checkLater();
             return;
         }
-        exchange.addStep("silent:" + Math.round(silenceMillis));
-        String writer = silent.job().decodeEngine();
-        double readsMillis = context.engineWork().tracker().pendingPrefillMillis(writer);
-        watch.stop();
-        silent.cancel();
-        excludedEngines.add(writer);
-        if (readsMillis < MIN_EXPLAINED_SHARE * silenceMillis) {
-            markFailed(writer);
+        String engine = silent.job().decodeEngine();
+        double prefillMillis = context.engineWork().tracker().pendingPrefillMillis(engine);
+        leaveSilent(silent);
+        if (prefillMillis < MIN_EXPLAINED_SHARE * silenceMillis) {
+            markFailed(engine);
         }
-        possibleRuns++;
         context.metrics().retried("silent");
         send(job, placement);
     }
 
+    private void leaveSilent(StreamAttempt silent) {
+        exchange.addStep("silent:" + Math.round(context.now() - silent.lastEventAt()));
+        watch.stop();
+        silent.cancel();
+        excludedEngines.add(silent.job().decodeEngine());
+        possibleRuns++;
+    }
+
     @Override
     public void notReserved() {
         watch.stop();
@@ -236,33 +263,36 @@
     @Override
     public void unreached() {
         watch.stop();
-        markFailed(attempt.job().decodeEngine());
+        String engine = attempt.job().decodeEngine();
+        excludedEngines.add(engine);
+        context.paths().whenSettled(() -> reportUnreached(engine));
         retry("unreached", false, ErrorType.UPSTREAM_UNREACHABLE);
     }
 
+    /** Tells the other daemons of an engine that was not reached, unless this daemon's own paths are at fault. */
+    private void reportUnreached(String engine) {
+        if (context.paths().areOpen()) {
+            context.engineWork().reportFailure(engine);
+        }
+    }
+
     @Override
     public void event(OptionalLong id, Buffer bytes) {
         if (exchange.ended()) {
             return;
         }
-        if (id.isPresent() && lastEventId.isPresent() && id.getAsLong() <= lastEventId.getAsLong()) {
-            return;
-        }
-        if (awaitingNextId
-                && id.isPresent()
-                && lastEventId.isPresent()
-                && id.getAsLong() != lastEventId.getAsLong() + 1) {
+        EventSequence.Verdict verdict = sequence.next(id);
+        if (verdict == EventSequence.Verdict.GAP) {
             exchange.addStep("gap");
             attempt.cancel();
             broken("gap");
             return;
         }
-        awaitingNextId = false;
+        if (verdict == EventSequence.Verdict.REPEATED) {
+            return;
+        }
         exchange.beginStream(attempt.responseHead().status(), attempt.responseHeaders());
         exchange.writeEvent(bytes);
-        if (id.isPresent()) {
-            lastEventId = id;
-        }
     }
 
     @Override
@@ -367,7 +397,7 @@
             return;
         }
         context.metrics().retried(cause);
-        schedule(type);
+        handover.tryForward(progress(), () -> schedule(type));
     }
 
     private void giveUp(ErrorType type, double retryAfterMillis) {
@@ -380,7 +410,9 @@
 
     private void markFailed(String engine) {
         excludedEngines.add(engine);
-        context.health().recordFailure(engine, context.now());
-        context.engineWork().reportFailure(engine);
+        context.recordFailure(engine);
+        if (context.paths().areOpen()) {
+            context.engineWork().reportFailure(engine);
+        }
     }
 }
--- a/relay/src/main/java/org/endivehold/relay/serve/UpstreamAttempt.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/UpstreamAttempt.java
@@ -77,6 +77,11 @@
         return ended;
     }
 
+    /** Returns whether a connection was opened; if not, nothing of the request has been sent. */
+    boolean isOpened() {
+        return request != null;
+    }
+
     private void head(HttpClientResponse response) {
         if (ended) {
             return;
--- a/relay/src/main/java/org/endivehold/relay/serve/UpstreamClient.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/UpstreamClient.java
@@ -1,7 +1,6 @@
 package org.endivehold.relay.serve;
 
 import io.vertx.core.MultiMap;
-import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
@@ -10,6 +9,7 @@
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.net.SocketAddress;
 import org.endivehold.misc.Ticker;
+import org.endivehold.relay.path.PathMonitor;
 import org.endivehold.relay.state.Upstream;
 
 /**
@@ -29,18 +29,21 @@
     private final Dialect headerCodec;
     private final Ticker ticker;
     private final UpstreamTrafficListener trafficListener;
+    private final PathMonitor paths;
 
-    UpstreamClient(Vertx vertx, Ticker ticker, Dialect headerCodec, UpstreamTrafficListener trafficListener) {
-        this.ticker = ticker;
-        this.headerCodec = headerCodec;
-        this.trafficListener = trafficListener;
-        client = vertx.createHttpClient(
-                new HttpClientOptions()
-                        .setKeepAlive(false)
-                        .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
-                        .setTcpNoDelay(true)
-                        .setDecompressionSupported(false),
-                new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS));
+    UpstreamClient(RelayContext context) {
+        this.ticker = context.ticker();
+        this.headerCodec = context.headerCodec();
+        this.trafficListener = context.trafficListener();
+        this.paths = context.paths();
+        client = context.vertx()
+                .createHttpClient(
+                        new HttpClientOptions()
+                                .setKeepAlive(false)
+                                .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
+                                .setTcpNoDelay(true)
+                                .setDecompressionSupported(false),
+                        new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS));
     }
 
     /** The caller's request without hop-by-hop headers, as it is sent in every attempt. */
@@ -65,8 +68,14 @@
         UpstreamAttempt attempt =
                 new UpstreamAttempt(headerCodec, head -> trafficListener.answered(upstream, head, sentAt), listener);
         client.request(options)
-                .onSuccess(opened -> attempt.opened(opened, outgoing.body()))
-                .onFailure(attempt::failedToOpen);
+                .onSuccess(opened -> {
+                    paths.recordReached(upstream);
+                    attempt.opened(opened, outgoing.body());
+                })
+                .onFailure(failure -> {
+                    paths.recordUnreached(upstream);
+                    attempt.failedToOpen(failure);
+                });
         return attempt;
     }
 }
--- a/relay/src/main/java/org/endivehold/relay/state/FleetState.java
+++ b/relay/src/main/java/org/endivehold/relay/state/FleetState.java
@@ -84,13 +84,23 @@
 
     @Override
     public Collection<Upstream> upstreams(String service) {
-        dropLapsed();
-        if (!indexed) {
-            index();
-        }
+        refreshIndex();
         return byService.getOrDefault(service, List.of());
     }
 
+    @Override
+    public Collection<Upstream> upstreams() {
+        return services().stream()
+                .flatMap(service -> upstreams(service).stream())
+                .toList();
+    }
+
+    @Override
+    public Collection<String> services() {
+        refreshIndex();
+        return byService.keySet();
+    }
+
     @Override
     public Optional<Upstream> upstream(String id) {
         return Optional.ofNullable(upstreams.get(id));
@@ -253,6 +263,13 @@
         }
     }
 
+    private void refreshIndex() {
+        dropLapsed();
+        if (!indexed) {
+            index();
+        }
+    }
+
     private void index() {
         byService.clear();
         for (Upstream upstream : upstreams.values()) {
--- a/relay/src/main/java/org/endivehold/relay/state/FleetView.java
+++ b/relay/src/main/java/org/endivehold/relay/state/FleetView.java
@@ -18,6 +18,12 @@
     /** Returns the usable upstreams of a service: registered, not leaving, and in no evacuated availability zone. */
     Collection<Upstream> upstreams(String service);
 
+    /** Returns the usable upstreams of all services. */
+    Collection<Upstream> upstreams();
+
+    /** Returns the names of the services that have usable upstreams. */
+    Collection<String> services();
+
     /** Returns the upstream with an id, whether usable or not; empty if it is not registered. */
     Optional<Upstream> upstream(String id);
 }
--- a/relay/src/test/java/org/endivehold/relay/peer/PeerCodecTest.java
+++ b/relay/src/test/java/org/endivehold/relay/peer/PeerCodecTest.java
@@ -8,8 +8,11 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.endivehold.error.EndiveholdException;
+import org.endivehold.error.ErrorType;
 import org.endivehold.relay.crash.RequestTrait;
 import org.endivehold.relay.crash.SoundTrait;
 import org.endivehold.relay.crash.SuspectTrait;
@@ -19,6 +22,7 @@
 import org.endivehold.relay.engine.Placement;
 import org.endivehold.relay.engine.PromptNeed;
 import org.endivehold.relay.limit.RateLimitAnnouncement;
+import org.endivehold.relay.route.Customer;
 import org.endivehold.relay.schedule.EngineRequest;
 import org.endivehold.relay.state.SharedStore;
 import org.endivehold.relay.state.StorePosition;
@@ -65,6 +69,40 @@
                     new RateLimitAnnouncement("a", 1_700_000_000_000L, OptionalDouble.of(1.5)), 30),
             new PeerMessage.RateLimitAnnounced(new RateLimitAnnouncement("a", 7, OptionalDouble.empty()), 0),
             new PeerMessage.LimitedRequestSent("a", 1_700_000_000_000L),
+            new PeerMessage.PathsReported("d#1", 3, List.of("service")),
+            new PeerMessage.ForwardOffer("d#1", "service", 12),
+            new PeerMessage.ForwardAccepted(),
+            new PeerMessage.ForwardDeclined("stopping"),
+            new PeerMessage.ForwardedRequest(
+                    "service",
+                    "POST",
+                    "/a%20b?x=1",
+                    "/a%20b",
+                    List.of(new PeerMessage.Header("Accept", "a"), new PeerMessage.Header("Accept", "b")),
+                    4,
+                    Optional.of(new Customer("customer", OptionalInt.of(0))),
+                    1_500,
+                    OptionalLong.of(0),
+                    2,
+                    1,
+                    true),
+            new PeerMessage.ForwardedRequest(
+                    "service",
+                    "GET",
+                    "/",
+                    "/",
+                    List.of(),
+                    0,
+                    Optional.of(new Customer("customer", OptionalInt.empty())),
+                    1,
+                    OptionalLong.empty(),
+                    0,
+                    0,
+                    false),
+            new PeerMessage.ForwardedHead(200, true, List.of(new PeerMessage.Header("Seal", "s"))),
+            new PeerMessage.ForwardedBytes(Buffer.buffer("bytes")),
+            new PeerMessage.ForwardedEnd(),
+            new PeerMessage.ForwardedFailure(503, ErrorType.UPSTREAM_UNREACHABLE, 0.5),
             new PeerMessage.Ping(),
             new PeerMessage.Bye());
 
--- a/relay/src/test/java/org/endivehold/relay/schedule/SharedSchedulerTest.java
+++ b/relay/src/test/java/org/endivehold/relay/schedule/SharedSchedulerTest.java
@@ -70,6 +70,16 @@
             return List.of(upstream("e1").orElseThrow(), upstream("e2").orElseThrow());
         }
 
+        @Override
+        public Collection<Upstream> upstreams() {
+            return upstreams("engines");
+        }
+
+        @Override
+        public Collection<String> services() {
+            return List.of("engines");
+        }
+
         @Override
         public Optional<Upstream> upstream(String id) {
             return Optional.of(new Upstream(new UpstreamEntry(id, "engines", null, "zone", 2, false, 0, 0), 0));
--- a/relay/src/test/java/org/endivehold/relay/serve/RelayFixture.java
+++ b/relay/src/test/java/org/endivehold/relay/serve/RelayFixture.java
@@ -25,6 +25,11 @@
 import org.endivehold.relay.limit.UpstreamAvailability;
 import org.endivehold.relay.limit.UpstreamHealth;
 import org.endivehold.relay.limit.UpstreamRateLimits;
+import org.endivehold.relay.path.ConnectionProbe;
+import org.endivehold.relay.path.Neighbours;
+import org.endivehold.relay.path.PathMonitor;
+import org.endivehold.relay.path.PathPeers;
+import org.endivehold.relay.peer.DaemonEntry;
 import org.endivehold.relay.peer.PeerMessage;
 import org.endivehold.relay.peer.RateLimitExchange;
 import org.endivehold.relay.route.Customer;
@@ -104,6 +109,7 @@
         UpstreamHealth health = new UpstreamHealth();
         UpstreamRateLimits rateLimits = new UpstreamRateLimits(onlyDaemon);
         availability = new UpstreamAvailability(health, rateLimits);
+        PathMonitor paths = new PathMonitor(vertx, ticker, random, this, new ConnectionProbe(vertx));
         server = new CallerServer(new RelayContext(
                 vertx,
                 ticker,
@@ -116,6 +122,8 @@
                 new LocalScheduler(vertx, ticker, random, this, health, work, new EngineDivision(onlyDaemon)),
                 health,
                 availability,
+                paths,
+                new Neighbours(ticker, random, new NoPeers()),
                 new CrashMonitor(
                         ticker,
                         new ConnectionCheck(vertx),
@@ -233,6 +241,18 @@
                 0);
     }
 
+    @Override
+    public Collection<Upstream> upstreams() {
+        return services().stream()
+                .flatMap(service -> upstreams(service).stream())
+                .toList();
+    }
+
+    @Override
+    public Collection<String> services() {
+        return List.of("plain", "engines");
+    }
+
     @Override
     public Optional<Upstream> upstream(String id) {
         return upstreams(id.substring(0, id.indexOf('-'))).stream()
@@ -240,6 +260,25 @@
                 .findFirst();
     }
 
+    /** There are no other daemons. */
+    private static final class NoPeers implements PathPeers {
+        @Override
+        public DaemonEntry self() {
+            return new DaemonEntry("d", "127.0.0.1", 1, "z", 1);
+        }
+
+        @Override
+        public Collection<DaemonEntry> others() {
+            return List.of();
+        }
+
+        @Override
+        public void spread(PeerMessage message) {}
+
+        @Override
+        public void passOn(PeerMessage message) {}
+    }
+
     @Override
     public void close() throws Exception {
         await(vertx.close());
