What other daemons report of an upstream ends with what it sends here

What callers would see: engines left alone for half a second again and again, as daemons with broken paths report them as failed. Cause: a report of another daemon ejected an upstream like a failure that was seen here. Change: a reported ejection ends when the upstream sends anything to this daemon; an own one stays until an answer. Measured: aReportOfAnotherDaemonIsRefutedByWhatTheUpstreamSendsHere (new method); tests of health, plain and stream requests green.

--- a/daemon/src/main/java/org/endivehold/daemon/entry/PeerMessageDispatcher.java
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/PeerMessageDispatcher.java
@@ -93,7 +93,7 @@
         }
         if (message instanceof PeerMessage.UpstreamFailed failed) {
             double now = (double) ticker.millis();
-            health.eject(failed.upstream(), now + failed.ejectionMillis(), now);
+            health.ejectReported(failed.upstream(), now + failed.ejectionMillis(), now);
         } else if (message instanceof PeerMessage.UpstreamObserved observed) {
             upstreamObserved(observed, (double) ticker.millis());
         } else if (message instanceof PeerMessage.UpstreamLeaving leaving) {
--- a/relay/src/main/java/org/endivehold/relay/limit/UpstreamHealth.java
+++ b/relay/src/main/java/org/endivehold/relay/limit/UpstreamHealth.java
@@ -29,6 +29,7 @@
     private static final class State {
         private int consecutiveFailures;
         private double ejectedUntil;
+        private double reportedUntil;
         private double failureRate;
         private double slowdown = 1;
         private double decayedAt;
@@ -47,13 +48,15 @@
         State state = state(upstream, now);
         state.consecutiveFailures = 0;
         state.ejectedUntil = 0;
+        state.reportedUntil = 0;
         state.failureRate *= 1 - NEWEST_WEIGHT;
     }
 
-    /** Records that the upstream sent something for any request of this daemon. */
+    /** Records that the upstream sent something for any request of this daemon; that refutes reports of others. */
     public void recordActivity(String upstream, double now) {
         State state = states.computeIfAbsent(upstream, id -> new State());
         state.lastActivityAt = now;
+        state.reportedUntil = 0;
     }
 
     /**
@@ -95,7 +98,7 @@
     /** Returns whether the upstream is ejected now. */
     public boolean ejected(String upstream, double now) {
         State state = states.get(upstream);
-        return state != null && now < state.ejectedUntil;
+        return state != null && now < Math.max(state.ejectedUntil, state.reportedUntil);
     }
 
     /** Ejects an upstream until a time in milliseconds, or until the end of its current ejection if that is later. */
@@ -104,6 +107,15 @@
         state.ejectedUntil = Math.max(state.ejectedUntil, untilMillis);
     }
 
+    /**
+     * Ejects an upstream that another daemon reports as failed, until a time in milliseconds or until this daemon hears
+     * of the upstream: only the path from the other daemon may be at fault.
+     */
+    public void ejectReported(String upstream, double untilMillis, double now) {
+        State state = state(upstream, now);
+        state.reportedUntil = Math.max(state.reportedUntil, untilMillis);
+    }
+
     /** Returns the moving average of the share of requests that failed, from 0 to 1. */
     public double failureRate(String upstream, double now) {
         return states.containsKey(upstream) ? state(upstream, now).failureRate : 0;
--- a/relay/src/test/java/org/endivehold/relay/limit/UpstreamHealthTest.java
+++ b/relay/src/test/java/org/endivehold/relay/limit/UpstreamHealthTest.java
@@ -26,6 +26,18 @@
         assertFalse(health.ejected("a", 11));
     }
 
+    /** A daemon with a broken path reports sound engines as failed; the others must not leave them alone for it. */
+    @Test
+    void aReportOfAnotherDaemonIsRefutedByWhatTheUpstreamSendsHere() {
+        health.ejectReported("a", 500, 0);
+        assertTrue(health.ejected("a", 10));
+        health.recordActivity("a", 20);
+        assertFalse(health.ejected("a", 21));
+        health.recordFailure("a", 30);
+        health.recordActivity("a", 40);
+        assertTrue(health.ejected("a", 41), "a failure that this daemon saw itself");
+    }
+
     @Test
     void failureAnswersRaiseTheFailureRateWithoutEjecting() {
         health.recordFailureAnswer("a", 0);
