Refused connections are evidence of a crash only if another upstream is reached

What callers would see: their requests barred for a minute after a few cuts of a daemon's links, as if they crashed upstreams. Cause: a lost attempt counted as a crash if its upstream's host refused a connection; links that are cut by resets refuse them, too. Change: ReferencedCheck asks for a connection to another upstream, the one reached last, before it believes in an end.

--- a/daemon/src/main/java/org/endivehold/daemon/entry/EntryDaemon.java
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/EntryDaemon.java
@@ -43,6 +43,7 @@
 import org.endivehold.relay.serve.CrashMonitor;
 import org.endivehold.relay.serve.Dialect;
 import org.endivehold.relay.serve.EngineMemoryClient;
+import org.endivehold.relay.serve.ReferencedCheck;
 import org.endivehold.relay.serve.RelayBounds;
 import org.endivehold.relay.serve.RelayContext;
 import org.endivehold.relay.serve.RelayMetrics;
@@ -133,7 +134,8 @@
         suspects = new CrashSuspects(
                 (trait, turn) -> RendezvousHash.chosen(self, directory.names(), trait + "#" + turn, 1), barredTraits);
         SuspectExchange suspectExchange = new SuspectExchange(suspects, ticker, mesh);
-        CrashMonitor crashes = new CrashMonitor(ticker, new ConnectionCheck(vertx), suspects, suspectExchange::spread);
+        CrashMonitor crashes = new CrashMonitor(
+                ticker, new ReferencedCheck(new ConnectionCheck(vertx), paths), suspects, suspectExchange::spread);
         RateLimitExchange rateLimitExchange = new RateLimitExchange(rateLimits, ticker, mesh::spread);
         dispatcher.setReceivers(
                 fleet, scheduler, copyExchange, configurations, suspectExchange, rateLimitExchange, neighbours, mesh);
--- a/relay/src/test/java/org/endivehold/relay/serve/RelayFixture.java
+++ b/relay/src/test/java/org/endivehold/relay/serve/RelayFixture.java
@@ -126,7 +126,7 @@
                 new Neighbours(ticker, random, new NoPeers()),
                 new CrashMonitor(
                         ticker,
-                        new ConnectionCheck(vertx),
+                        new ReferencedCheck(new ConnectionCheck(vertx), paths),
                         new CrashSuspects((part, turn) -> true, new CrashSuspects.Listener() {}),
                         peerMessages::add),
                 new AvailabilityRecorder(
@@ -184,6 +184,23 @@
         engines.forEach(upstream -> upstream.onRequest(replaceReplies));
     }
 
+    List<ScriptedUpstream> allUpstreams() {
+        List<ScriptedUpstream> all = new ArrayList<>(plainUpstreams);
+        all.addAll(engines);
+        return all;
+    }
+
+    /** Makes the ports of all upstreams refuse connections, as a path does that is cut in this way. */
+    void closeAllUpstreams() {
+        for (ScriptedUpstream upstream : allUpstreams()) {
+            try {
+                upstream.close();
+            } catch (IOException | InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+        }
+    }
+
     int arrivals() {
         int sum = 0;
         for (ScriptedUpstream upstream : plainUpstreams) {
