Tests of forwarded requests: a killed neighbour, links that are back, no daemon that reaches the upstreams

Cause: the first test counts first attempts only; these are the cases in which work could run twice, a broken answer look complete, the detour stay, or a refusal take long.

--- a/daemon/src/test/java/org/endivehold/daemon/entry/CutOffDaemonsTest.java
+++ b/daemon/src/test/java/org/endivehold/daemon/entry/CutOffDaemonsTest.java
@@ -1,5 +1,6 @@
 package org.endivehold.daemon.entry;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.vertx.core.Future;
@@ -7,6 +8,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.endivehold.daemon.entry.UpstreamLink.Cut;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -59,6 +61,93 @@
         }
     }
 
+    /**
+     * The daemon that serves a forwarded request is killed: its callers' streams broke off, work that may have run was
+     * run again, or a broken answer looked complete.
+     */
+    @Test
+    void aNeighbourThatIsKilledCostsNoStreamAndRunsNothingTwice() throws Exception {
+        try (TestFleet fleet = new TestFleet(3)) {
+            rounds(fleet, 3, 1_000, "before");
+            fleet.cut(0, Cut.SILENT);
+            rounds(fleet, 1, STABLE_MILLIS, "at-once");
+            List<Future<TestFleet.Answer>> streams = new ArrayList<>();
+            List<Future<TestFleet.Answer>> unsafe = new ArrayList<>();
+            for (int i = 0; i < 8; i++) {
+                streams.add(fleet.send(0, TestFleet.Kind.STREAM, "stream-" + i));
+            }
+            await(fleet.vertx().timer(TestUpstream.EVENTS * 5L, TimeUnit.MILLISECONDS));
+            for (int i = 0; i < 8; i++) {
+                unsafe.add(fleet.send(0, TestFleet.Kind.UNSAFE, "unsafe-" + i));
+            }
+            fleet.kill(1);
+            for (Future<TestFleet.Answer> stream : streams) {
+                TestFleet.Answer answer = await(stream);
+                assertTrue(answer.status() == 200 && answer.complete(), answer::toString);
+                assertEquals(allEvents(), answer.body());
+            }
+            for (int i = 0; i < unsafe.size(); i++) {
+                TestFleet.Answer answer = await(unsafe.get(i));
+                int runs = fleet.runs("unsafe-" + i);
+                assertTrue(answer.status() == 200 ? runs == 1 : runs <= 1, () -> runs + " runs, " + answer);
+                assertTrue(answer.status() != 503 || runs == 0, () -> runs + " runs, " + answer);
+            }
+        }
+    }
+
+    private static String allEvents() {
+        StringBuilder events = new StringBuilder();
+        for (int i = 1; i <= TestUpstream.EVENTS; i++) {
+            events.append("id: ").append(i).append("\ndata: x\n\n");
+        }
+        return events.toString();
+    }
+
+    /** A daemon went on to send by way of others after its links were back. */
+    @Test
+    void requestsAreSentFromHereAgainSomeTimeAfterTheLinksAreBack() throws Exception {
+        try (TestFleet fleet = new TestFleet(2)) {
+            rounds(fleet, 2, 1_000, "before");
+            fleet.cut(0, Cut.SILENT);
+            rounds(fleet, 2, STABLE_MILLIS, "cut");
+            double whileCut = forwarded(fleet);
+            assertTrue(whileCut > 0, () -> whileCut + " requests forwarded");
+            fleet.restore(0);
+            rounds(fleet, 2, STABLE_MILLIS, "restored");
+            double before = forwarded(fleet);
+            Served served = rounds(fleet, 2, 1_000, "later").get(0);
+            assertEquals(before, forwarded(fleet));
+            assertEquals(1, served.share());
+        }
+    }
+
+    private static double forwarded(TestFleet fleet) throws Exception {
+        double sum = 0;
+        for (String line : fleet.metrics(0).split("\n", -1)) {
+            if (line.startsWith("endivehold_forwarded_total")) {
+                sum += Double.parseDouble(line.substring(line.lastIndexOf(' ') + 1));
+            }
+        }
+        return sum;
+    }
+
+    /** If no daemon reaches the upstreams, callers waited for one timeout after the other before they were refused. */
+    @Test
+    void requestsAreRefusedAtOnceIfNoDaemonReachesTheUpstreams() throws Exception {
+        try (TestFleet fleet = new TestFleet(3)) {
+            rounds(fleet, 3, 1_000, "before");
+            for (int daemon = 0; daemon < 3; daemon++) {
+                fleet.cut(daemon, Cut.SILENT);
+            }
+            rounds(fleet, 3, STABLE_MILLIS, "at-once");
+            for (TestFleet.Kind kind : TestFleet.Kind.values()) {
+                TestFleet.Answer answer = await(fleet.send(0, kind, "refused-" + kind));
+                assertEquals(503, answer.status());
+                assertTrue(answer.millis() < 300, answer::toString);
+            }
+        }
+    }
+
     /** Sends one request of each kind to each daemon in each round, and returns what each daemon served. */
     private static List<Served> rounds(TestFleet fleet, int size, int millis, String name) throws Exception {
         List<Served> all = new ArrayList<>();
