Forwarded requests go to daemons that reach the service now, and come back if they did not run there

Cause: an offer was accepted while the neighbour's own paths were in doubt; the runs before the handover made its refusal look like a possible run; and with one upstream of 26 in reach a daemon went to and fro between sending by itself and by way of others. Change: an offer is answered once doubts are settled, and declined unless the service is reached; a handler counts earlier runs apart, so that a neighbour's "not run" is about its own part, and the request goes to the next daemon; lost paths return with two upstreams reached in a row, and a service stays lost here while most of its upstreams are.

--- a/relay/src/main/java/org/endivehold/relay/path/PathMonitor.java
+++ b/relay/src/main/java/org/endivehold/relay/path/PathMonitor.java
@@ -74,7 +74,7 @@
     /** Records that a connection to an upstream was opened. */
     public void recordReached(Upstream upstream) {
         lastReached = Optional.of(upstream);
-        paths.recordReached(key(upstream), now());
+        paths.recordReached(key(upstream), fleet.upstreams().size(), now());
         changed();
     }
 
@@ -157,6 +157,11 @@
         return share >= 1 || random.nextDouble() < share;
     }
 
+    /** Returns whether requests of other daemons to a service can be sent from here. */
+    public boolean reaches(String service) {
+        return paths.localShare(keys(service), now()) > 0;
+    }
+
     /** Returns whether no upstream of a service is reached from here. */
     public boolean isCutOff(String service) {
         return paths.isCutOff(keys(service), now());
@@ -217,7 +222,7 @@
         settled.forEach(Runnable::run);
         Set<String> lost = new HashSet<>();
         for (String service : fleet.services()) {
-            if (paths.localShare(keys(service), now()) == 0) {
+            if (!reaches(service)) {
                 lost.add(service);
             }
         }
--- a/relay/src/main/java/org/endivehold/relay/path/UpstreamPaths.java
+++ b/relay/src/main/java/org/endivehold/relay/path/UpstreamPaths.java
@@ -26,8 +26,8 @@
  * that flaps does not move all requests to and fro.
  *
  * <p>Example: of 26 upstreams, {@code e1} is not reached, then {@code e2} and {@code p1}, which are probed at once: the
- * paths are lost. 12 s later a probe reaches {@code e4}; after 400 ms, requests begin to be sent from here again, and
- * another second later all are.
+ * paths are lost. 12 s later probes reach {@code e4} and {@code e7}; after 400 ms, requests begin to be sent from here
+ * again, and another second later all are.
  */
 public final class UpstreamPaths {
     /** State of all paths together. */
@@ -46,6 +46,8 @@
     private static final int MIN_UNREACHED = 3;
     /** The same while the paths are returning. */
     private static final int MIN_UNREACHED_RETURNING = 2;
+    /** Upstreams in a row that have to be reached before lost paths are returning. */
+    private static final int MIN_REACHED = 2;
     /**
      * Part of a service's upstreams that are not reached, above which requests to it are better sent from elsewhere.
      */
@@ -63,6 +65,7 @@
 
     private final Map<String, Path> paths = new HashMap<>();
     private final Set<String> unreachedInRow = new HashSet<>();
+    private final Set<String> reachedInRow = new HashSet<>();
     private State state = State.OPEN;
     private double returnedAt = Double.NEGATIVE_INFINITY;
     private double holdMillis = MIN_HOLD_MILLIS;
@@ -76,13 +79,20 @@
      */
     private record Path(boolean lost, double at, int failures) {}
 
-    /** Records that a connection to an upstream was opened. */
-    public void recordReached(String upstream, double now) {
+    /**
+     * Records that a connection to an upstream was opened.
+     *
+     * @param upstream the upstream
+     * @param known number of upstreams that could be reached
+     * @param now time in milliseconds
+     */
+    public void recordReached(String upstream, int known, double now) {
         paths.put(upstream, new Path(false, now, 0));
         unreachedInRow.clear();
+        reachedInRow.add(upstream);
         if (state == State.DOUBTED) {
             state = State.OPEN;
-        } else if (state == State.LOST) {
+        } else if (state == State.LOST && reachedInRow.size() >= Math.min(MIN_REACHED, known)) {
             state = State.RETURNING;
             returnedAt = now;
         }
@@ -100,6 +110,7 @@
         int failures = before == null ? 0 : before.failures();
         paths.put(upstream, new Path(true, now, failures + 1));
         unreachedInRow.add(upstream);
+        reachedInRow.clear();
         State current = state(now);
         if (current == State.RETURNING && unreachedInRow.size() >= Math.min(MIN_UNREACHED_RETURNING, known)) {
             lose(now);
@@ -151,11 +162,11 @@
      * @return from 0 to 1
      */
     public double localShare(Collection<String> upstreams, double now) {
-        return switch (state(now)) {
-            case LOST, DOUBTED -> 0;
-            case RETURNING -> Math.max(0, (now - returnedAt - holdMillis) / RAMP_MILLIS);
-            case OPEN -> isMostlyLost(upstreams) ? 0 : 1;
-        };
+        State current = state(now);
+        if (current == State.LOST || current == State.DOUBTED || isMostlyLost(upstreams)) {
+            return 0;
+        }
+        return current == State.OPEN ? 1 : Math.max(0, (now - returnedAt - holdMillis) / RAMP_MILLIS);
     }
 
     private boolean isMostlyLost(Collection<String> upstreams) {
@@ -173,5 +184,6 @@
     public void retain(Collection<String> upstreams) {
         paths.keySet().retainAll(upstreams);
         unreachedInRow.retainAll(upstreams);
+        reachedInRow.retainAll(upstreams);
     }
 }
--- a/relay/src/main/java/org/endivehold/relay/serve/ForwardReceiver.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/ForwardReceiver.java
@@ -30,8 +30,12 @@
         this.stopping = stopping;
     }
 
-    /** Accepts or declines the request that a daemon offers. */
+    /** Accepts or declines the request that a daemon offers, as soon as doubts about the own paths are settled. */
     void offered(PeerMessage.ForwardOffer offer, PeerStream stream) {
+        context.paths().whenSettled(() -> decide(offer, stream));
+    }
+
+    private void decide(PeerMessage.ForwardOffer offer, PeerStream stream) {
         Optional<String> reason = reasonToDecline(offer);
         if (reason.isPresent()) {
             stream.end(new PeerMessage.ForwardDeclined(reason.get()));
@@ -47,7 +51,7 @@
         if (!context.fleet().complete() || context.tableVersion() < offer.version()) {
             return Optional.of("configuration");
         }
-        if (context.paths().isCutOff(offer.service())) {
+        if (!context.paths().reaches(offer.service())) {
             return Optional.of("cut-off");
         }
         return requests >= MAX_REQUESTS ? Optional.of("full") : Optional.empty();
--- a/relay/src/main/java/org/endivehold/relay/serve/ForwardedRequest.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/ForwardedRequest.java
@@ -302,7 +302,6 @@
         leaveDaemon();
         context.metrics().forwarded(failure.type().word());
         boolean mayRunElsewhere = failure.status() == NOT_RUN_STATUS
-                && possibleRuns == 0
                 && (failure.type() == ErrorType.UPSTREAM_UNREACHABLE || failure.type() == ErrorType.SHUTTING_DOWN);
         if (mayRunElsewhere) {
             exchange.addStep("returned:" + failure.type().word());
--- a/relay/src/main/java/org/endivehold/relay/serve/PlainRequestHandler.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/PlainRequestHandler.java
@@ -39,6 +39,7 @@
     private final RelayService service;
     private final Handover handover;
     private final boolean counted;
+    private final int priorRuns;
     private final CrashGuard guard;
     private final Set<String> tried = new HashSet<>();
     private UpstreamAttempt attempt;
@@ -48,7 +49,9 @@
     private Buffer responseBody;
     private double sentAt;
     private int sends;
+    /** Upstreams that may have run it, sent by this daemon. */
     private int possibleRuns;
+
     private boolean countedAsLoad;
     private long attemptTimer = -1;
 
@@ -66,7 +69,7 @@
         this.handover = handover;
         this.counted = progress.counted();
         this.sends = progress.sends();
-        this.possibleRuns = progress.possibleRuns();
+        this.priorRuns = progress.possibleRuns();
         this.loads = loads;
         this.client = client;
         this.outgoing = outgoing;
@@ -83,7 +86,8 @@
     }
 
     private RequestProgress progress() {
-        return new RequestProgress(sends, possibleRuns, exchange.requestHead().resumeAfter(), true);
+        return new RequestProgress(
+                sends, priorRuns + possibleRuns, exchange.requestHead().resumeAfter(), true);
     }
 
     @Override
@@ -124,7 +128,7 @@
                 List.of(),
                 exchange.requestHead().resumeAfter());
         if (exchange.route().kind() == RequestKind.SAFE
-                && possibleRuns + 1 < exchange.route().maxAttempts()) {
+                && priorRuns + possibleRuns + 1 < exchange.route().maxAttempts()) {
             long timeoutMillis =
                     Math.max(MIN_ATTEMPT_TIMEOUT_MILLIS, (long) (exchange.remainingMillis() * ATTEMPT_TIMEOUT_SHARE));
             attemptTimer = context.vertx().setTimer(timeoutMillis, timer -> attemptTimedOut());
@@ -260,7 +264,7 @@
 
     private boolean mayRunAgain() {
         return exchange.route().idempotent()
-                && possibleRuns + 1 < exchange.route().maxAttempts()
+                && priorRuns + possibleRuns + 1 < exchange.route().maxAttempts()
                 && sends < MAX_SENDS;
     }
 
--- a/relay/src/main/java/org/endivehold/relay/serve/StreamRequestHandler.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/StreamRequestHandler.java
@@ -38,6 +38,7 @@
     private final RelayService service;
     private final Handover handover;
     private final boolean counted;
+    private final int priorRuns;
     private final EventSequence sequence;
     private final CrashGuard guard;
     private final Set<String> excludedEngines = new HashSet<>();
@@ -45,6 +46,7 @@
     private StreamAttempt attempt;
     private SilenceWatch watch;
     private int sends;
+    /** Upstreams that may have run it, sent by this daemon. */
     private int possibleRuns;
 
     StreamRequestHandler(
@@ -59,7 +61,7 @@
         this.handover = handover;
         this.counted = progress.counted();
         this.sends = progress.sends();
-        this.possibleRuns = progress.possibleRuns();
+        this.priorRuns = progress.possibleRuns();
         this.sequence = new EventSequence(progress.lastEventId());
         this.exchange = exchange;
         this.client = client;
@@ -77,7 +79,7 @@
     }
 
     private RequestProgress progress() {
-        return new RequestProgress(sends, possibleRuns, sequence.lastId(), true);
+        return new RequestProgress(sends, priorRuns + possibleRuns, sequence.lastId(), true);
     }
 
     @Override
@@ -373,7 +375,7 @@
 
     private boolean mayResume() {
         return exchange.route().idempotent()
-                && possibleRuns + 1 < exchange.route().maxAttempts()
+                && priorRuns + possibleRuns + 1 < exchange.route().maxAttempts()
                 && sends < MAX_SENDS;
     }
 
