Paths that were lost together return together

What callers would see: requests of a daemon whose links are back make the detour for seconds more, the longer the more upstreams there are. Cause: while all paths are lost, probes mark each single one as lost; after the return each had to be probed again, two each 300 ms, before the service counted as reached. Change: single losses are forgotten when the paths return; those that are still lost are found out by attempts.

--- a/relay/src/main/java/org/endivehold/relay/path/UpstreamPaths.java
+++ b/relay/src/main/java/org/endivehold/relay/path/UpstreamPaths.java
@@ -95,6 +95,7 @@
         } else if (state == State.LOST && reachedInRow.size() >= Math.min(MIN_REACHED, known)) {
             state = State.RETURNING;
             returnedAt = now;
+            forgetSingleLosses();
         }
     }
 
@@ -122,6 +123,11 @@
         }
     }
 
+    /** While all paths were lost, each attempt failed; that says nothing of the single ones. */
+    private void forgetSingleLosses() {
+        paths.values().removeIf(Path::lost);
+    }
+
     private void lose(double now) {
         boolean repeated = now - returnedAt < FLAP_MILLIS;
         holdMillis = repeated ? Math.min(MAX_HOLD_MILLIS, 2 * holdMillis) : MIN_HOLD_MILLIS;
