Paths to upstreams cost nothing while all are open; an accepted request that does not arrive is given up

Cause: each opened connection built the list of all upstreams to see whether anything had changed, at 1,000 upstreams some 50 us (not measured); a daemon that ended between its offer being accepted and its request left an entry that counted until TCP gave up, and a bound of 512 is kept on these. Change: only losses are kept, and nothing is done while there are none; an accepted request has 2 s to arrive, and its entry ends with it.

--- a/relay/src/main/java/org/endivehold/relay/path/PathMonitor.java
+++ b/relay/src/main/java/org/endivehold/relay/path/PathMonitor.java
@@ -74,6 +74,9 @@
     /** Records that a connection to an upstream was opened. */
     public void recordReached(Upstream upstream) {
         lastReached = Optional.of(upstream);
+        if (isUndisturbed()) {
+            return;
+        }
         paths.recordReached(key(upstream), fleet.upstreams().size(), now());
         changed();
     }
@@ -112,13 +115,16 @@
     }
 
     private void tick() {
+        if (isUndisturbed()) {
+            return;
+        }
         Collection<Upstream> upstreams = fleet.upstreams();
         paths.retain(upstreams.stream().map(PathMonitor::key).toList());
         UpstreamPaths.State state = paths.state(now());
         if (state == UpstreamPaths.State.OPEN) {
             upstreams.stream()
                     .filter(upstream -> isProbeDue(upstream))
-                    .sorted(Comparator.comparingDouble(upstream -> -paths.sinceAttemptMillis(key(upstream), now())))
+                    .sorted(Comparator.comparingDouble(upstream -> -paths.sinceFailureMillis(key(upstream), now())))
                     .limit(PROBES)
                     .forEach(this::probe);
         } else {
@@ -127,10 +133,15 @@
         changed();
     }
 
+    /** Returns whether there is nothing to probe, to tell or to log. */
+    private boolean isUndisturbed() {
+        return paths.isUndisturbed(now()) && lostServices.isEmpty() && loggedState == UpstreamPaths.State.OPEN;
+    }
+
     private boolean isProbeDue(Upstream upstream) {
         String key = key(upstream);
         double pause = MIN_PROBE_PAUSE_MILLIS * (1 << Math.min(paths.failures(key) - 1, 8));
-        return paths.isLost(key) && paths.sinceAttemptMillis(key, now()) >= Math.min(MAX_PROBE_PAUSE_MILLIS, pause);
+        return paths.isLost(key) && paths.sinceFailureMillis(key, now()) >= Math.min(MAX_PROBE_PAUSE_MILLIS, pause);
     }
 
     /** Completes with whether this daemon reaches any other upstream than the one at an address. */
@@ -153,18 +164,21 @@
 
     /** Returns whether a request to a service should be sent from here, if another daemon reaches the service. */
     public boolean prefersLocal(String service) {
+        if (paths.isUndisturbed(now())) {
+            return true;
+        }
         double share = paths.localShare(keys(service), now());
         return share >= 1 || random.nextDouble() < share;
     }
 
     /** Returns whether requests of other daemons to a service can be sent from here. */
     public boolean reaches(String service) {
-        return paths.localShare(keys(service), now()) > 0;
+        return paths.isUndisturbed(now()) || paths.localShare(keys(service), now()) > 0;
     }
 
     /** Returns whether no upstream of a service is reached from here. */
     public boolean isCutOff(String service) {
-        return paths.isCutOff(keys(service), now());
+        return !paths.isUndisturbed(now()) && paths.isCutOff(keys(service), now());
     }
 
     private static String key(Upstream upstream) {
@@ -177,11 +191,14 @@
 
     /** Returns whether the path to one upstream is lost. */
     public boolean isLost(Upstream upstream) {
-        return paths.isLost(key(upstream));
+        return !paths.isUndisturbed(now()) && paths.isLost(key(upstream));
     }
 
     /** Returns the ids of a service's upstreams that are not reached from here; none if that is all of them. */
     public Set<String> avoidedUpstreams(String service) {
+        if (paths.isUndisturbed(now())) {
+            return Set.of();
+        }
         Collection<Upstream> all = fleet.upstreams(service);
         Set<String> lost = new HashSet<>();
         for (Upstream upstream : all) {
--- a/relay/src/main/java/org/endivehold/relay/path/UpstreamPaths.java
+++ b/relay/src/main/java/org/endivehold/relay/path/UpstreamPaths.java
@@ -63,7 +63,9 @@
     /** Time in which the share of requests that are sent from here rises from none to all, in milliseconds. */
     private static final double RAMP_MILLIS = 1_000;
 
-    private final Map<String, Path> paths = new HashMap<>();
+    /** The paths on which the last attempt to open a connection failed. */
+    private final Map<String, Loss> losses = new HashMap<>();
+
     private final Set<String> unreachedInRow = new HashSet<>();
     private final Set<String> reachedInRow = new HashSet<>();
     private State state = State.OPEN;
@@ -71,13 +73,12 @@
     private double holdMillis = MIN_HOLD_MILLIS;
 
     /**
-     * The path to one upstream.
+     * The loss of the path to one upstream.
      *
-     * @param lost whether the last attempt to open a connection failed
-     * @param at when that attempt ended, in milliseconds
+     * @param at when the last attempt failed, in milliseconds
      * @param failures attempts that failed in a row
      */
-    private record Path(boolean lost, double at, int failures) {}
+    private record Loss(double at, int failures) {}
 
     /**
      * Records that a connection to an upstream was opened.
@@ -87,7 +88,7 @@
      * @param now time in milliseconds
      */
     public void recordReached(String upstream, int known, double now) {
-        paths.put(upstream, new Path(false, now, 0));
+        losses.remove(upstream);
         unreachedInRow.clear();
         reachedInRow.add(upstream);
         if (state == State.DOUBTED) {
@@ -95,7 +96,8 @@
         } else if (state == State.LOST && reachedInRow.size() >= Math.min(MIN_REACHED, known)) {
             state = State.RETURNING;
             returnedAt = now;
-            forgetSingleLosses();
+            // While all paths were lost, each attempt failed; that says nothing of the single ones.
+            losses.clear();
         }
     }
 
@@ -107,9 +109,7 @@
      * @param now time in milliseconds
      */
     public void recordUnreached(String upstream, int known, double now) {
-        Path before = paths.get(upstream);
-        int failures = before == null ? 0 : before.failures();
-        paths.put(upstream, new Path(true, now, failures + 1));
+        losses.put(upstream, new Loss(now, failures(upstream) + 1));
         unreachedInRow.add(upstream);
         reachedInRow.clear();
         State current = state(now);
@@ -123,11 +123,6 @@
         }
     }
 
-    /** While all paths were lost, each attempt failed; that says nothing of the single ones. */
-    private void forgetSingleLosses() {
-        paths.values().removeIf(Path::lost);
-    }
-
     private void lose(double now) {
         boolean repeated = now - returnedAt < FLAP_MILLIS;
         holdMillis = repeated ? Math.min(MAX_HOLD_MILLIS, 2 * holdMillis) : MIN_HOLD_MILLIS;
@@ -142,22 +137,28 @@
         return state;
     }
 
+    /** Returns whether no path is lost or in doubt. */
+    public boolean isUndisturbed(double now) {
+        return losses.isEmpty() && state(now) == State.OPEN;
+    }
+
     /** Returns whether the last attempt to open a connection to an upstream failed. */
     public boolean isLost(String upstream) {
-        Path path = paths.get(upstream);
-        return path != null && path.lost();
+        return losses.containsKey(upstream);
     }
 
     /** Returns the number of attempts in a row to open a connection to an upstream that failed. */
     public int failures(String upstream) {
-        Path path = paths.get(upstream);
-        return path == null ? 0 : path.failures();
+        Loss loss = losses.get(upstream);
+        return loss == null ? 0 : loss.failures();
     }
 
-    /** Returns the time since the last attempt to reach an upstream ended, in milliseconds; infinite if none has. */
-    public double sinceAttemptMillis(String upstream, double now) {
-        Path path = paths.get(upstream);
-        return path == null ? Double.POSITIVE_INFINITY : now - path.at();
+    /**
+     * Returns the time since the last failed attempt to reach an upstream, in milliseconds; infinite if it is reached.
+     */
+    public double sinceFailureMillis(String upstream, double now) {
+        Loss loss = losses.get(upstream);
+        return loss == null ? Double.POSITIVE_INFINITY : now - loss.at();
     }
 
     /**
@@ -188,7 +189,7 @@
 
     /** Forgets the paths to all upstreams that are not among the given ones. */
     public void retain(Collection<String> upstreams) {
-        paths.keySet().retainAll(upstreams);
+        losses.keySet().retainAll(upstreams);
         unreachedInRow.retainAll(upstreams);
         reachedInRow.retainAll(upstreams);
     }
--- a/relay/src/main/java/org/endivehold/relay/serve/ForwardReceiver.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/ForwardReceiver.java
@@ -13,6 +13,8 @@
 final class ForwardReceiver {
     /** Interval at which the other daemon hears that this one is alive, in milliseconds. */
     static final long PING_MILLIS = 500;
+    /** Time within which an accepted request has to arrive, in milliseconds; the other daemon may have ended. */
+    private static final long ARRIVAL_MILLIS = 2_000;
     /** Requests of other daemons that are served at the same time. */
     private static final int MAX_REQUESTS = 512;
 
@@ -65,7 +67,9 @@
         private PeerMessage.ForwardedRequest head;
         private final Buffer body = Buffer.buffer();
         private long pings = -1;
+        private long arrivalTimer = -1;
         private boolean dispatched;
+        private boolean finished;
 
         Reception(String from, PeerStream stream) {
             this.from = from;
@@ -76,16 +80,28 @@
         void start() {
             requests++;
             pings = context.vertx().setPeriodic(PING_MILLIS, timer -> stream.send(new PeerMessage.Ping()));
+            arrivalTimer = context.vertx().setTimer(ARRIVAL_MILLIS, timer -> stream.close());
             stream.handle(this::received, this::closed);
             stream.send(new PeerMessage.ForwardAccepted());
         }
 
         private void closed() {
-            requests--;
-            context.vertx().cancelTimer(pings);
+            if (!dispatched) {
+                finish();
+            }
             channel.closed();
         }
 
+        /** Ends the reception: the request has ended, or did not arrive. */
+        private void finish() {
+            if (!finished) {
+                finished = true;
+                requests--;
+                context.vertx().cancelTimer(pings);
+                context.vertx().cancelTimer(arrivalTimer);
+            }
+        }
+
         private void received(PeerMessage message) {
             if (message instanceof PeerMessage.ForwardedRequest request && head == null) {
                 head = request;
@@ -115,8 +131,12 @@
                     parsed.outputTokens(),
                     parsed.sharedParts(),
                     head.resumeAfter());
+            context.vertx().cancelTimer(arrivalTimer);
             active.begin();
-            Exchange exchange = new Exchange(context, channel, requestHead, active::end);
+            Exchange exchange = new Exchange(context, channel, requestHead, () -> {
+                active.end();
+                finish();
+            });
             exchange.addStep("from:" + from);
             IncomingRequest request = new IncomingRequest(
                     head.path(),
