Test fleet: ports that no outgoing connection can take

Ruled out: the daemon's code (the failure came 0.3 s into the fixture, before any request). Change: the fleet's ports lie below that range. A link does not open its port again at its end, which could meet the same.

--- a/daemon/src/test/java/org/endivehold/daemon/entry/TestFleet.java
+++ b/daemon/src/test/java/org/endivehold/daemon/entry/TestFleet.java
@@ -19,6 +19,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentSkipListMap;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.endivehold.relay.RelaySettings;
 import org.endivehold.relay.route.EngineProfile;
@@ -53,6 +54,8 @@
     record Answer(int status, String body, boolean complete, long millis) {}
 
     private static final int LIMIT_SECONDS = 20;
+    private static final int FIRST_PORT = 12_000;
+    private static final int END_OF_PORTS = 32_000;
     private static final int TIMEOUT_MILLIS = 3_000;
     private static final int SERVICE_SIZE = 4;
     private static final EngineProfile PROFILE = new EngineProfile(8, 100_000, 1, 5, 0.5, 0, 1_000, 0, 2_048);
@@ -121,9 +124,18 @@
         return SocketAddress.inetSocketAddress(port, "127.0.0.1");
     }
 
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
+    /**
+     * Returns a port that nobody listens on, below those that the system gives to outgoing connections: one of these
+     * could take it before the daemon does.
+     */
+    private static int freePort() {
+        while (true) {
+            int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, END_OF_PORTS);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                return socket.getLocalPort();
+            } catch (IOException e) {
+                // Somebody else has this port: the next one is tried.
+            }
         }
     }
 
--- a/daemon/src/test/java/org/endivehold/daemon/entry/UpstreamLink.java
+++ b/daemon/src/test/java/org/endivehold/daemon/entry/UpstreamLink.java
@@ -35,13 +35,14 @@
     private final SocketAddress upstream;
     private final Set<Socket> open = ConcurrentHashMap.newKeySet();
     private final List<SocketChannel> fillers = new ArrayList<>();
-    private ServerSocket server;
+    private final ServerSocket server;
     private volatile CountDownLatch cutEnds = new CountDownLatch(0);
     private volatile boolean silent;
 
     UpstreamLink(SocketAddress upstream) throws IOException {
         this.upstream = upstream;
-        listen(0);
+        server = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
+        run(this::acceptAll);
     }
 
     /** Returns the port at which the daemon reaches the upstream. */
@@ -49,22 +50,16 @@
         return server.getLocalPort();
     }
 
-    private void listen(int port) throws IOException {
-        server = new ServerSocket(port, BACKLOG, InetAddress.getLoopbackAddress());
-        ServerSocket listening = server;
-        run(() -> acceptAll(listening));
-    }
-
     private static void run(Runnable task) {
         Thread thread = new Thread(task, "upstream-link");
         thread.setDaemon(true);
         thread.start();
     }
 
-    private void acceptAll(ServerSocket listening) {
+    private void acceptAll() {
         try {
             while (true) {
-                Socket inbound = listening.accept();
+                Socket inbound = server.accept();
                 cutEnds.await();
                 Socket outbound = new Socket();
                 outbound.connect(new InetSocketAddress(upstream.host(), upstream.port()));
@@ -121,6 +116,7 @@
         }
     }
 
+    /** Ends a cut by which the link went silent. */
     void restore() throws IOException {
         silent = false;
         for (SocketChannel filler : fillers) {
@@ -128,9 +124,6 @@
         }
         fillers.clear();
         cutEnds.countDown();
-        if (server.isClosed()) {
-            listen(server.getLocalPort());
-        }
     }
 
     @Override
