Review, case 1: nested objects, and releases inside their doses

The stand-ins note when requests reach a server, so that cases 2, 4 and 5 say how many were passed on after their clients had left.

--- a/review/src/EndlessAnswer.java
+++ b/review/src/EndlessAnswer.java
@@ -10,7 +10,7 @@
  */
 final class EndlessAnswer {
     /** Clients that send one request after the other. */
-    private static final int CLIENTS = 60;
+    private static final int CLIENTS = 75;
 
     private static final int BLOCK_BYTES = 65_536;
     private static final long TROUBLE_MILLIS = 5_000;
@@ -59,6 +59,7 @@
                 throw new IllegalStateException(e);
             }
         }
+        traffic.sayGone();
         return traffic.checkTimeouts("plain requests", List.copyOf(traffic.sent));
     }
 
--- a/review/src/EndlessStream.java
+++ b/review/src/EndlessStream.java
@@ -48,6 +48,7 @@
         }
         traffic.stop();
         Threads.sleep(12_000);
+        traffic.sayGone();
         return traffic.checkTimeouts("plain requests", List.copyOf(traffic.sent));
     }
 
--- a/review/src/Fleet.java
+++ b/review/src/Fleet.java
@@ -35,6 +35,8 @@
     final List<Server> engines = new ArrayList<>();
     /** How often each request was run by a server. */
     final Map<String, AtomicLong> runs = new ConcurrentHashMap<>();
+    /** When each request last reached a server that ran it, in milliseconds of the JVM's clock. */
+    final Map<String, Long> reachedAt = new ConcurrentHashMap<>();
 
     /** Loopback addresses of this run: daemons serve their metrics at a fixed port, so runs side by side need different ones. */
     private final String network = "127." + ThreadLocalRandom.current().nextInt(64, 192) + "."
@@ -118,6 +120,7 @@
     }
 
     void countRun(Server.Request request) {
+        reachedAt.put(request.id(), System.nanoTime() / 1_000_000);
         runs.computeIfAbsent(request.id(), id -> new AtomicLong()).incrementAndGet();
     }
 
--- a/review/src/ForeignEntry.java
+++ b/review/src/ForeignEntry.java
@@ -5,16 +5,26 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Another writer leaves an entry under servers/ whose bytes can't be read. Afterwards the servers are replaced one by one, as in a
- * release: each reports that it is draining, and its successor registers. No request may reach a server later than drain_ms after that.
+ * Another writer leaves an entry under servers/ whose bytes can't be read. Afterwards the servers are replaced one by one, in
+ * three releases: each reports that it is draining, and its successor registers. No request may reach a server later than drain_ms after that.
  */
 final class ForeignEntry {
     private static final long DRAIN_MILLIS = 2_000;
     /** Time for which a server goes on after drain_ms before it exits, in milliseconds. */
     private static final long LINGER_MILLIS = 1_500;
 
-    private static final int UNREADABLE_BYTES = 1_000;
+    /** Objects in one another that the unreadable entry opens and doesn't close; its bytes are no JSON document. */
+    private static final int NESTED_OBJECTS = 1_000;
     private static final int PER_SECOND = 20;
+    private static final long WORK_MILLIS = 43;
+    /** Servers of the service; three releases replace two, two and one of them: a share of 0.4 at most each. */
+    private static final int SERVERS = 5;
+
+    private static final int RELEASED_TOGETHER = 2;
+    /** Pause between two servers of a release, in milliseconds. */
+    private static final long GAP_MILLIS = 1_000;
+    /** Pause between two releases, in milliseconds. */
+    private static final long RELEASE_PAUSE_MILLIS = 3_000;
 
     private final Record record;
     private final Fleet fleet;
@@ -33,9 +43,11 @@
     private boolean run(boolean trouble) throws IOException {
         List<String> zones = List.of("bogota-a", "bogota-b", "bogota-c");
         for (String zone : zones) {
-            watchArrivals(fleet.addServer("i-old-" + zone, zone, 43));
             fleet.addDaemon(zone);
         }
+        for (int i = 0; i < SERVERS; i++) {
+            watchArrivals(fleet.addServer("i-old-" + i, zones.get(i % zones.size()), WORK_MILLIS));
+        }
         List<Server> old = List.copyOf(fleet.servers);
         fleet.start();
         Platform platform = new Platform(fleet.daemons);
@@ -43,13 +55,15 @@
         zones.forEach(zone -> traffic.start(PER_SECOND, () -> platform.choose(zone)));
         Threads.sleep(4_000);
         if (trouble) {
-            fleet.store.put("servers/i-other", "[".repeat(UNREADABLE_BYTES));
-            record.line("another writer has written servers/i-other: " + UNREADABLE_BYTES + " bytes that can't be read");
+            String unreadable = "{\"a\":".repeat(NESTED_OBJECTS);
+            fleet.store.put("servers/i-other", unreadable);
+            record.line("another writer has written servers/i-other: " + unreadable.length() + " bytes that can't be read");
         }
         Threads.sleep(4_000);
-        for (int i = 0; i < zones.size(); i++) {
-            replace(old.get(i), zones.get(i));
-            Threads.sleep(1_000);
+        for (int i = 0; i < SERVERS; i++) {
+            replace(old.get(i), i, zones.get(i % zones.size()));
+            boolean lastOfRelease = i % RELEASED_TOGETHER == RELEASED_TOGETHER - 1;
+            Threads.sleep(lastOfRelease ? RELEASE_PAUSE_MILLIS : GAP_MILLIS);
         }
         Threads.sleep(DRAIN_MILLIS + LINGER_MILLIS + 1_000);
         long from = record.millis();
@@ -67,7 +81,7 @@
 
     /** Notes the requests that reach a server later than drain_ms after the store accepted that it is draining. */
     private void watchArrivals(Server server) {
-        Server.Handler sound = fleet.sound(43);
+        Server.Handler sound = fleet.sound(WORK_MILLIS);
         server.handler((request, out) -> {
             Long at = drainingAt.get(server.id);
             if (at != null && record.millis() > at + DRAIN_MILLIS) {
@@ -79,11 +93,11 @@
         });
     }
 
-    private void replace(Server old, String zone) throws IOException {
-        fleet.addServer("i-new-" + zone, zone, 43);
+    private void replace(Server old, int number, String zone) throws IOException {
+        fleet.addServer("i-new-" + number, zone, WORK_MILLIS);
         fleet.store.put("servers/" + old.id, old.entry(Fleet.SERVICE, zone, 6, "draining"));
         drainingAt.put(old.id, record.millis());
-        record.line(old.id + " is draining, i-new-" + zone + " is ready");
+        record.line(old.id + " is draining, i-new-" + number + " is ready");
         Threads.daemon(() -> end(old)).start();
     }
 
--- a/review/src/Traffic.java
+++ b/review/src/Traffic.java
@@ -1,5 +1,7 @@
 import java.io.IOException;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Supplier;
@@ -19,6 +21,9 @@
         }
     }
 
+    /** When the client of each request closed its connection, in milliseconds of the JVM's clock. */
+    private final Map<String, Long> closedAt = new ConcurrentHashMap<>();
+
     final ConcurrentLinkedQueue<Sent> sent = new ConcurrentLinkedQueue<>();
     private final Fleet fleet;
     private final Record record;
@@ -56,8 +61,9 @@
             client.send(unsafe ? "POST" : "GET", path, Fleet.headers(id), new byte[unsafe ? 600 : 0]);
             answer = client.read(Fleet.DEADLINE_MILLIS);
         } catch (IOException e) {
-            answer = new Client.Answer(0, false, java.util.Map.of(), new byte[0], "not connected: " + e.getMessage());
+            answer = new Client.Answer(0, false, Map.of(), new byte[0], "not connected: " + e.getMessage());
         }
+        closedAt.put(id, System.nanoTime() / 1_000_000);
         Sent done = new Sent(id, daemon, unsafe, at, record.millis() - at, answer);
         sent.add(done);
         record.line(done.text() + "; runs: " + fleet.runCount(id));
@@ -83,6 +89,23 @@
         return late < MIN_LATE || 2 * broken <= late;
     }
 
+    /** Says how many requests reached a server after their clients had gone, beside the rule that is checked (GONE). */
+    void sayGone() {
+        long gone = 0;
+        long unsafe = 0;
+        for (Sent request : sent) {
+            Long reached = fleet.reachedAt.get(request.id());
+            if (reached != null && reached > closedAt.get(request.id()) + 500) {
+                gone++;
+                unsafe += request.unsafe() ? 1 : 0;
+                record.line("request " + request.id() + " reached a server "
+                        + (reached - closedAt.get(request.id())) + " ms after its client had closed");
+            }
+        }
+        record.say("requests that reached a server over 500 ms after their client had closed: " + gone + ", unsafe ones "
+                + unsafe);
+    }
+
     /** Requests that have to be late before the rule is checked: a single one says little. */
     private static final int MIN_LATE = 5;
 }
--- a/review/src/UnreadLog.java
+++ b/review/src/UnreadLog.java
@@ -44,6 +44,7 @@
         Threads.sleep(3_000);
         traffic.stop();
         Threads.sleep(3_000);
+        traffic.sayGone();
         return traffic.checkTimeouts("plain requests", List.copyOf(traffic.sent));
     }
 }
