--- a/review/build.sh
+++ b/review/build.sh
@@ -5,3 +5,4 @@
 rm -rf target
 mkdir -p target
 javac -encoding UTF-8 --release 17 --add-modules jdk.httpserver -Xlint:all -d target src/*.java
+cp src/wire.properties target/
--- a/review/src/Daemon.java
+++ b/review/src/Daemon.java
@@ -71,7 +71,7 @@
                 builder.environment().put(kept, caller.get(kept));
             }
         }
-        builder.environment().put("ENDIVEHOLD_BOOT", boot.toString());
+        builder.environment().put(Wire.BOOT, boot.toString());
         builder.redirectErrorStream(true);
         process = builder.start();
         Path log = folder.resolve(name + ".log");
--- a/review/src/EndlessAnswer.java
+++ b/review/src/EndlessAnswer.java
@@ -69,8 +69,8 @@
         record.line(server.id + " begins to answer with bytes without end");
         server.handler((request, out) -> {
             fleet.countRun(request);
-            String head = "HTTP/1.1 200 OK\r\nX-Endivehold-Attempt-Id: " + request.id()
-                    + "\r\nX-Endivehold-Response-Seal: seal-" + request.id() + "\r\n\r\n";
+            String head = "HTTP/1.1 200 OK\r\n" + Wire.ATTEMPT + ": " + request.id()
+                    + "\r\n" + Wire.SEAL + ": seal-" + request.id() + "\r\n\r\n";
             out.write(head.getBytes(StandardCharsets.ISO_8859_1));
             while (true) {
                 out.write(junk);
--- a/review/src/EndlessStream.java
+++ b/review/src/EndlessStream.java
@@ -66,8 +66,8 @@
     }
 
     private boolean sendLineFeeds(Server.Request request, OutputStream out) throws IOException {
-        String head = "HTTP/1.1 200 OK\r\nX-Endivehold-Attempt-Id: " + request.id()
-                + "\r\nX-Endivehold-Response-Seal: seal-" + request.id() + "\r\nContent-Type: text/event-stream\r\n\r\n";
+        String head = "HTTP/1.1 200 OK\r\n" + Wire.ATTEMPT + ": " + request.id()
+                + "\r\n" + Wire.SEAL + ": seal-" + request.id() + "\r\nContent-Type: text/event-stream\r\n\r\n";
         byte[] block = new byte[BLOCK_BYTES];
         Arrays.fill(block, (byte) '\n');
         long bytes = 0;
--- a/review/src/Fleet.java
+++ b/review/src/Fleet.java
@@ -48,7 +48,7 @@
         this.repository = repository.toAbsolutePath().normalize();
         folder = Files.createTempDirectory("endivehold-review");
         store = new Store(network + 1);
-        store.put("op/config", configuration(1));
+        store.put(Wire.CONFIGURATION, configuration(1));
     }
 
     static String configuration(int version) {
@@ -96,7 +96,7 @@
         return (request, out) -> {
             countRun(request);
             Server.beginStream(request, out);
-            int first = 1 + Integer.parseInt(request.headers().getOrDefault("last-event-id", "0"));
+            int first = 1 + Integer.parseInt(request.headers().getOrDefault(Wire.key(Wire.LAST_EVENT), "0"));
             for (int id = first; id <= events; id++) {
                 Threads.sleep(pauseMillis);
                 Server.chunk(out, "id: " + id + "\ndata: " + "t".repeat(50) + "\n\n");
@@ -151,19 +151,19 @@
     static Map<String, String> headers(String id) {
         Map<String, String> headers = new LinkedHashMap<>();
         headers.put("Host", HOST);
-        headers.put("X-Endivehold-Attempt-Id", id);
-        headers.put("X-Endivehold-Deadline-Remaining", Integer.toString(DEADLINE_MILLIS));
-        headers.put("X-Api-Key", KEY);
+        headers.put(Wire.ATTEMPT, id);
+        headers.put(Wire.DEADLINE, Integer.toString(DEADLINE_MILLIS));
+        headers.put(Wire.API_KEY, KEY);
         return headers;
     }
 
     /** Returns the headers that a client sends with a request of the streaming route. */
     static Map<String, String> streamHeaders(String id) {
         Map<String, String> headers = headers(id);
-        headers.put("X-Endivehold-Deadline-Remaining", "10000");
-        headers.put("X-Endivehold-Model", "m");
-        headers.put("X-Endivehold-Token-Counts", "4960,1300");
-        headers.put("X-Endivehold-Prompt-Prefix", "5c1e07a2:40," + id + ":4920");
+        headers.put(Wire.DEADLINE, "10000");
+        headers.put(Wire.MODEL, "m");
+        headers.put(Wire.TOKENS, "4960,1300");
+        headers.put(Wire.PREFIX, "5c1e07a2:40," + id + ":4920");
         return headers;
     }
 
--- a/review/src/Server.java
+++ b/review/src/Server.java
@@ -16,7 +16,7 @@
     /** A request as the server got it. */
     record Request(String method, String path, Map<String, String> headers, byte[] body) {
         String id() {
-            return headers.getOrDefault("x-endivehold-attempt-id", "");
+            return headers.getOrDefault(Wire.key(Wire.ATTEMPT), "");
         }
     }
 
@@ -74,9 +74,9 @@
             InputStream in = new BufferedInputStream(socket.getInputStream());
             OutputStream out = socket.getOutputStream();
             for (Request request = read(in); request != null; request = read(in)) {
-                String target = request.headers().get("x-endivehold-target-instance");
+                String target = request.headers().get(Wire.key(Wire.TARGET));
                 if (target != null && !target.equals(id)) {
-                    write(out, 421, Map.of("X-Endivehold-Instance-Id", id), new byte[0]);
+                    write(out, 421, Map.of(Wire.INSTANCE, id), new byte[0]);
                 } else if (!handler.answer(request, out)) {
                     return;
                 }
@@ -132,8 +132,8 @@
 
     /** Writes the head of a stream in chunks. */
     static void beginStream(Request request, OutputStream out) throws IOException {
-        String head = "HTTP/1.1 200 OK\r\nX-Endivehold-Attempt-Id: " + request.id()
-                + "\r\nX-Endivehold-Response-Seal: seal-" + request.id()
+        String head = "HTTP/1.1 200 OK\r\n" + Wire.ATTEMPT + ": " + request.id()
+                + "\r\n" + Wire.SEAL + ": seal-" + request.id()
                 + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
         out.write(head.getBytes(StandardCharsets.ISO_8859_1));
         out.flush();
@@ -155,9 +155,9 @@
                 out,
                 200,
                 Map.of(
-                        "X-Endivehold-Attempt-Id", request.id(),
-                        "X-Endivehold-Response-Seal", "seal-" + request.id(),
-                        "X-Endivehold-Server-Load", "1,0,6"),
+                        Wire.ATTEMPT, request.id(),
+                        Wire.SEAL, "seal-" + request.id(),
+                        Wire.LOAD, "1,0,6"),
                 body);
         return true;
     }
--- a/review/src/Store.java
+++ b/review/src/Store.java
@@ -127,23 +127,23 @@
             String text = new String(body, StandardCharsets.UTF_8);
             int status = 200;
             String answer;
-            if (path.equals("/kv-range")) {
+            if (path.equals(Wire.RANGE)) {
                 answer = range(query.getOrDefault("path_prefix", ""), query.getOrDefault("after", ""));
-            } else if (path.equals("/kv-watch")) {
+            } else if (path.equals(Wire.WATCH)) {
                 answer = watch(
                         query.getOrDefault("path_prefix", ""),
                         Long.parseLong(query.get("after")),
                         Long.parseLong(query.get("wait_ms")));
-            } else if (path.equals("/kv-txn")) {
+            } else if (path.equals(Wire.TRANSACTION)) {
                 answer = txn(text);
                 status = answer == null ? 404 : 200;
-            } else if (path.equals("/kv-lease")) {
+            } else if (path.equals(Wire.LEASE)) {
                 answer = grant(Long.parseLong(field(text, "ttl_ms")));
-            } else if (path.startsWith("/kv-keep/")) {
-                answer = keep(Long.parseLong(path.substring("/kv-keep/".length())));
+            } else if (path.startsWith(Wire.KEEP)) {
+                answer = keep(Long.parseLong(path.substring(Wire.KEEP.length())));
                 status = answer == null ? 404 : 200;
-            } else if (method.equals("DELETE") && path.startsWith("/kv-lease-end/")) {
-                boolean known = endLease(Long.parseLong(path.substring("/kv-lease-end/".length())));
+            } else if (method.equals("DELETE") && path.startsWith(Wire.LEASE_END)) {
+                boolean known = endLease(Long.parseLong(path.substring(Wire.LEASE_END.length())));
                 answer = known ? "{}" : null;
                 status = known ? 200 : 404;
             } else {
@@ -156,7 +156,7 @@
             }
             byte[] bytes = (answer == null ? "{}" : answer).getBytes(StandardCharsets.UTF_8);
             exchange.getResponseHeaders().set("Content-Type", "application/json");
-            exchange.getResponseHeaders().set("Store-Era", "0");
+            exchange.getResponseHeaders().set(Wire.ERA, "0");
             exchange.sendResponseHeaders(status, bytes.length);
             exchange.getResponseBody().write(bytes);
         } catch (IOException | RuntimeException e) {
