A stopping daemon closes its port before the stop is complete

Cause: admission, the end of the drain, the lease and the exit each knew a part of the stop. The drain ended at the first moment without a request, from 2.65 s on; the port stayed open and admission went on until 0.37 of the grace period; the process halted when the store had answered the end of the lease. What was read in between was cut.

Ruled out: the signal hook (exit status 0, no time-out) and the balancer (it uses all daemons of a zone while fewer than half are in rotation, so requests must be expected until the port is closed).

Change: DrainSequence holds the phases; no active request closes the port instead of ending the stop, and the stop is complete when all connections are closed. The lease ends beside it, with a timeout. Forwarded requests count from their acceptance until their connection has ended. A refused request is read to its end before its connection is closed.

--- a/daemon/src/main/java/org/endivehold/daemon/entry/EntryDaemon.java
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/EntryDaemon.java
@@ -225,23 +225,31 @@
         });
     }
 
-    /** Stops gracefully: waits for requests in progress, then closes connections and ends the registration. */
+    /**
+     * Stops gracefully: serves for a while, then refuses new requests and ends the registration, and completes when all
+     * requests have been answered and the port is closed. The registration ends beside the last requests, so that a
+     * slow store does not delay the stop.
+     */
     public Future<Void> stop() {
         return runOnEventLoop(() -> {
                     LogEvent.of("daemon-stopping").with("daemon", self).info(log);
                     status.stopping();
-                    return callers.drain();
+                    CallerServer.Drain drain = callers.drain();
+                    Future<Void> left = drain.refusing().compose(refusing -> registration.end());
+                    return drain.drained()
+                            .onComplete(drained -> closeBackgroundWork())
+                            .eventually(() -> left);
                 })
-                .compose(drained -> runOnEventLoop(() -> {
-                    mesh.close();
-                    operatorEntries.close();
-                    upstreamEntries.close();
-                    return registration.end();
-                }))
                 .onComplete(done ->
                         LogEvent.of("daemon-stopped").with("daemon", self).info(log));
     }
 
+    private void closeBackgroundWork() {
+        mesh.close();
+        operatorEntries.close();
+        upstreamEntries.close();
+    }
+
     private void runMaintenance() {
         jobReplicator.tracker().expire((double) ticker.millis(), self);
         jobReplicator.tracker().retain(fleet.upstreamIds());
--- a/daemon/src/main/java/org/endivehold/daemon/entry/Registration.java
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/Registration.java
@@ -6,6 +6,7 @@
 import io.vertx.core.json.DecodeException;
 import io.vertx.core.json.JsonObject;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.endivehold.error.EndiveholdException;
 import org.endivehold.error.ErrorType;
 import org.endivehold.misc.LogEvent;
@@ -30,6 +31,9 @@
      */
     private static final int SECOND_DISCOVERY_DELAY_MILLIS = 3_000;
 
+    /** Longest time that the end of the lease may take when the daemon stops, in milliseconds. */
+    private static final int END_TIMEOUT_MILLIS = 1_000;
+
     private static final String HOST = "host";
     private static final String PORT = "port";
     private static final String ZONE = "zone";
@@ -61,9 +65,20 @@
         vertx.setTimer(SECOND_DISCOVERY_DELAY_MILLIS, timer -> discoverDaemons());
     }
 
+    /** Ends the lease; completes when the store has answered, or will not answer in time: the lease expires anyway. */
     Future<Void> end() {
         ended = true;
-        return lease.map(held -> store.revokeLease(held).otherwiseEmpty()).orElse(Future.succeededFuture());
+        return lease.map(this::revoke).orElse(Future.succeededFuture());
+    }
+
+    private Future<Void> revoke(StoreLease held) {
+        return store.revokeLease(held)
+                .timeout(END_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+                .onFailure(failure -> LogEvent.of("lease-not-ended")
+                        .with("lease", held.id())
+                        .with("reason", failure.getMessage())
+                        .warn(log))
+                .otherwiseEmpty();
     }
 
     private void register() {
--- a/daemon/src/test/java/org/endivehold/daemon/entry/InMemoryStore.java
+++ b/daemon/src/test/java/org/endivehold/daemon/entry/InMemoryStore.java
@@ -1,6 +1,7 @@
 package org.endivehold.daemon.entry;
 
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import java.util.List;
@@ -20,6 +21,7 @@
     private final Vertx vertx;
     private final ConcurrentSkipListMap<String, Buffer> items;
     private final Function<String, Optional<Buffer>> ownValues;
+    private volatile boolean leaseEndsUnanswered;
 
     /**
      * Creates a client.
@@ -65,9 +67,14 @@
         return Future.succeededFuture();
     }
 
+    /** Leaves calls that end a lease without an answer from now on. */
+    void leaveLeaseEndsUnanswered() {
+        leaseEndsUnanswered = true;
+    }
+
     @Override
     public Future<Void> revokeLease(StoreLease lease) {
-        return Future.succeededFuture();
+        return leaseEndsUnanswered ? Promise.<Void>promise().future() : Future.succeededFuture();
     }
 
     @Override
--- a/daemon/src/test/java/org/endivehold/daemon/entry/TestFleet.java
+++ b/daemon/src/test/java/org/endivehold/daemon/entry/TestFleet.java
@@ -67,8 +67,13 @@
     private final Map<String, TestUpstream> upstreams = new HashMap<>();
     private final List<Daemon> daemons = new ArrayList<>();
 
-    /** A daemon and its links to the upstreams, by their ids. */
-    private record Daemon(Vertx vertx, EntryDaemon daemon, RelaySettings settings, Map<String, UpstreamLink> links) {}
+    /** A daemon, its client of the store, and its links to the upstreams, by their ids. */
+    private record Daemon(
+            Vertx vertx,
+            EntryDaemon daemon,
+            InMemoryStore store,
+            RelaySettings settings,
+            Map<String, UpstreamLink> links) {}
 
     TestFleet(int size) throws Exception {
         items.put("operators/configuration", Buffer.buffer("1"));
@@ -117,7 +122,7 @@
                         .map(link -> Buffer.buffer(Integer.toString(link.port()))));
         EntryDaemon daemon =
                 new EntryDaemon(vertx, settings, store, new Decoder(), new TestDialect(), new NoMemoryClient());
-        return new Daemon(vertx, daemon, settings, links);
+        return new Daemon(vertx, daemon, store, settings, links);
     }
 
     private static SocketAddress local(int port) {
@@ -211,6 +216,11 @@
         await(daemons.get(daemon).vertx().close());
     }
 
+    /** Leaves a daemon without an answer when it ends its registration. */
+    void leaveLeaseEndsUnanswered(int daemon) {
+        daemons.get(daemon).store().leaveLeaseEndsUnanswered();
+    }
+
     /** Stops a daemon gracefully. */
     Future<Void> stop(int daemon) {
         return daemons.get(daemon).daemon().stop();
--- a/relay/src/main/java/org/endivehold/relay/serve/CallerServer.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/CallerServer.java
@@ -10,6 +10,7 @@
 import io.vertx.core.net.SocketAddress;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import org.endivehold.error.ErrorType;
 import org.endivehold.misc.LogEvent;
 import org.endivehold.relay.peer.PeerMessage;
@@ -24,20 +25,8 @@
     private static final int MAX_REQUEST_LINE_BYTES = 16_384;
     /** Time without traffic after which a connection is closed, in seconds; longer than any response takes. */
     private static final int IDLE_TIMEOUT_SECONDS = 60;
-    /**
-     * Time from the stop signal until idle connections are closed, in milliseconds: by then the load balancer has
-     * noticed that this daemon is stopping.
-     */
-    private static final long CLOSE_IDLE_DELAY_MILLIS = 2_600;
-    /**
-     * Part of the grace period in which new requests are still accepted: the load balancer keeps sending some while few
-     * other daemons are ready.
-     */
-    private static final double ADMISSION_SHARE = 0.37;
     /** Retry-after of requests that a stopping daemon refuses, in milliseconds: short, as another daemon takes them. */
     private static final int STOPPING_RETRY_AFTER_MILLIS = 50;
-    /** Time before the end of the grace period at which draining ends with requests still active, in milliseconds. */
-    private static final long END_BEFORE_GRACE_MILLIS = 700;
     /** Interval at which active requests and the fleet's state are checked, in milliseconds. */
     private static final long POLL_MILLIS = 50;
     /** Checks for a known fleet before a request is refused; together they last longer than a daemon's start. */
@@ -55,13 +44,13 @@
     private final ForwardReceiver forwards;
     private final ActiveRequests active = new ActiveRequests();
     private final Map<HttpConnection, Integer> requestsByConnection = new HashMap<>();
-    private double stoppingAt = Double.POSITIVE_INFINITY;
+    private DrainSequence sequence = DrainSequence.serving();
 
     /** Creates the server; {@link #listen} opens its port. */
     public CallerServer(RelayContext context) {
         this.context = context;
         dispatcher = new RequestDispatcher(context);
-        forwards = new ForwardReceiver(context, dispatcher, active, () -> context.now() >= stoppingAt);
+        forwards = new ForwardReceiver(context, dispatcher, active, () -> sequence.isStopping());
         server = context.vertx()
                 .createHttpServer(new HttpServerOptions()
                         .setTcpNoDelay(true)
@@ -84,22 +73,45 @@
     }
 
     /**
-     * Stops the server gradually: closes idle connections after a delay, refuses new requests later on, and completes
-     * when no request is active or shortly before the grace period ends.
+     * The two ends of a stop.
+     *
+     * @param refusing completes when no further request is accepted
+     * @param drained completes when the port is closed and all responses have been sent, at the latest shortly before
+     *     the end of the grace period
+     */
+    public record Drain(Future<Void> refusing, Future<Void> drained) {}
+
+    /**
+     * Stops the server gradually: closes idle connections after a delay, refuses new requests later on, and closes the
+     * port when no request is active, see {@link DrainSequence}.
      */
-    public Future<Void> drain() {
-        stoppingAt = context.now();
-        double endAt = stoppingAt + context.bounds().graceMillis() - END_BEFORE_GRACE_MILLIS;
+    public Drain drain() {
+        sequence = DrainSequence.begin(context.now(), context.bounds().graceMillis());
+        Promise<Void> refusing = Promise.promise();
         Promise<Void> drained = Promise.promise();
-        context.vertx().setTimer(CLOSE_IDLE_DELAY_MILLIS, timer -> closeIdle());
-        context.vertx().setPeriodic(CLOSE_IDLE_DELAY_MILLIS + POLL_MILLIS, POLL_MILLIS, timer -> {
-            if (active.count() == 0 || context.now() >= endAt) {
+        context.vertx().setTimer(DrainSequence.CLOSE_IDLE_DELAY_MILLIS, timer -> closeIdle());
+        context.vertx().setPeriodic(POLL_MILLIS, timer -> {
+            DrainSequence.Phase phase = sequence.update(context.now(), active.count());
+            if (phase.compareTo(DrainSequence.Phase.REFUSING) >= 0 && refusing.tryComplete()) {
+                LogEvent.of("admission-ended").with("active", active.count()).info(log);
+            }
+            if (phase == DrainSequence.Phase.CLOSING) {
                 context.vertx().cancelTimer(timer);
-                LogEvent.of("drained").with("left", active.count()).info(log);
-                drained.tryComplete();
+                closePort().onComplete(drained);
             }
         });
-        return drained.future();
+        return new Drain(refusing.future(), drained.future());
+    }
+
+    /** Closes the port, and each open connection once the response on it has been sent. */
+    private Future<Void> closePort() {
+        LogEvent.of("callers-port-closed")
+                .with("active", active.count())
+                .with("connections", requestsByConnection.size())
+                .info(log);
+        return server.shutdown(sequence.millisUntilCut(context.now()), TimeUnit.MILLISECONDS)
+                .onComplete(done ->
+                        LogEvent.of("drained").with("left", active.count()).info(log));
     }
 
     private void closeIdle() {
@@ -127,11 +139,10 @@
         requestsByConnection.merge(connection, 1, Integer::sum);
         Exchange exchange =
                 new Exchange(context, new HttpResponseChannel(request), requestHead, () -> requestEnded(connection));
-        if (context.now() >= stoppingAt) {
-            request.response().putHeader("connection", "close");
-            request.response().endHandler(sent -> connection.close());
+        if (sequence.isStopping()) {
+            closeAfterResponse(request);
         }
-        if (context.now() >= stoppingAt + admissionMillis()) {
+        if (!sequence.admits(context.now())) {
             exchange.refuse(ErrorType.SHUTTING_DOWN, STOPPING_RETRY_AFTER_MILLIS);
             return;
         }
@@ -149,11 +160,13 @@
         request.endHandler(read -> whenFleetKnown(exchange, MAX_FLEET_POLLS, () -> route(exchange, request, body)));
     }
 
-    /**
-     * Returns how long after the stop signal requests are accepted: later ones might not end within the grace period.
-     */
-    private double admissionMillis() {
-        return context.bounds().graceMillis() * ADMISSION_SHARE;
+    /** Closes a connection after its response; first the rest of the request is read, or the response might be lost. */
+    private static void closeAfterResponse(HttpServerRequest request) {
+        Promise<Void> sent = Promise.promise();
+        request.response().putHeader("connection", "close");
+        request.response().endHandler(done -> sent.complete());
+        Future.join(sent.future(), request.end())
+                .onComplete(done -> request.connection().close());
     }
 
     private int maxBodyBytes() {
--- a/relay/src/main/java/org/endivehold/relay/serve/ForwardReceiver.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/ForwardReceiver.java
@@ -79,17 +79,20 @@
 
         void start() {
             requests++;
+            active.begin();
             pings = context.vertx().setPeriodic(PING_MILLIS, timer -> stream.send(new PeerMessage.Ping()));
             arrivalTimer = context.vertx().setTimer(ARRIVAL_MILLIS, timer -> stream.close());
             stream.handle(this::received, this::closed);
             stream.send(new PeerMessage.ForwardAccepted());
         }
 
+        /** The connection has ended; until then the response may still be on its way. */
         private void closed() {
             if (!dispatched) {
                 finish();
             }
             channel.closed();
+            active.end();
         }
 
         /** Ends the reception: the request has ended, or did not arrive. */
@@ -132,11 +135,7 @@
                     parsed.sharedParts(),
                     head.resumeAfter());
             context.vertx().cancelTimer(arrivalTimer);
-            active.begin();
-            Exchange exchange = new Exchange(context, channel, requestHead, () -> {
-                active.end();
-                finish();
-            });
+            Exchange exchange = new Exchange(context, channel, requestHead, this::finish);
             exchange.addStep("from:" + from);
             IncomingRequest request = new IncomingRequest(
                     head.path(),
--- a/relay/src/test/java/org/endivehold/relay/serve/DrainTest.java
+++ b/relay/src/test/java/org/endivehold/relay/serve/DrainTest.java
@@ -1,9 +1,18 @@
 package org.endivehold.relay.serve;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.junit.jupiter.api.Assertions.fail;
 
+import io.vertx.core.Future;
 import io.vertx.core.Promise;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import org.endivehold.relay.serve.ScriptedUpstream.End;
 import org.junit.jupiter.api.Test;
 
@@ -16,6 +25,8 @@
     private static final String GOOD =
             "HTTP/1.1 200 OK\r\nattempt: ATTEMPT\r\nsignature: s\r\nContent-Length: 2\r\n\r\nok";
     private static final int MAX_REQUESTS = 2_000;
+    /** More than the buffers of a connection hold, in bytes. */
+    private static final int LARGE_BYTES = 7 << 20;
 
     private static RawResponse sendRequest(RelayFixture relay) throws Exception {
         relay.plainUpstreams.forEach(upstream -> upstream.reply(GOOD, End.FIN));
@@ -25,8 +36,7 @@
     @Test
     void aDrainingDaemonServesRequestsAtFirstAndThenRefusesThem() throws Exception {
         try (RelayFixture relay = new RelayFixture()) {
-            Promise<Void> drained = Promise.promise();
-            relay.vertx().runOnContext(ignored -> relay.server().drain().onComplete(drained));
+            Future<Void> drained = drain(relay);
             assertEquals(200, sendRequest(relay).status());
             RawResponse response = sendRequest(relay);
             int sent = 0;
@@ -39,7 +49,57 @@
             int arrivals = relay.arrivals();
             assertEquals(503, sendRequest(relay).status());
             assertEquals(arrivals, relay.arrivals());
-            RelayFixture.await(drained.future());
+            RelayFixture.await(drained);
         }
     }
+
+    private static Future<Void> drain(RelayFixture relay) {
+        Promise<Void> drained = Promise.promise();
+        relay.vertx().runOnContext(ignored -> relay.server().drain().drained().onComplete(drained));
+        return drained.future();
+    }
+
+    /** A port that is open until the process ends takes requests that are cut by its end. */
+    @Test
+    void closesItsPortBeforeTheStopIsComplete() throws Exception {
+        try (RelayFixture relay = new RelayFixture()) {
+            RelayFixture.await(drain(relay));
+            assertThrows(ConnectException.class, () -> sendRequest(relay).status());
+            assertEquals(0, relay.arrivals());
+        }
+    }
+
+    /** A response that has been handed to the connection is lost if the process ends before it has been sent. */
+    @Test
+    void waitsForACallerThatReadsItsResponseSlowly() throws Exception {
+        try (RelayFixture relay = new RelayFixture()) {
+            String head = "HTTP/1.1 200 OK\r\nattempt: ATTEMPT\r\nsignature: s\r\nContent-Length: " + LARGE_BYTES;
+            String body = "x".repeat(LARGE_BYTES);
+            relay.plainUpstreams.forEach(upstream -> upstream.reply(head + "\r\n\r\n" + body, End.FIN));
+            Future<Void> drained;
+            try (Socket caller = new Socket(InetAddress.getLoopbackAddress(), relay.port())) {
+                drained = drain(relay);
+                String request = RawResponse.request("GET", "/safe/x", "", "attempt: a", "remaining: 1200");
+                caller.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
+                awaitClosedPort(relay);
+                assertFalse(drained.isComplete());
+                String response = new String(caller.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+                assertTrue(response.endsWith(body));
+            }
+            RelayFixture.await(drained);
+        }
+    }
+
+    private static void awaitClosedPort(RelayFixture relay) {
+        for (int i = 0; i < 10 * MAX_REQUESTS; i++) {
+            try {
+                RawResponse.send(relay.port(), "GET", "/safe/x", "", "attempt: b", "remaining: 10");
+            } catch (ConnectException e) {
+                return;
+            } catch (IOException e) {
+                // The connection was closed, as the port is being closed.
+            }
+        }
+        fail("the port is still open");
+    }
 }
