Documents of other writers are decoded to a bounded depth

Cause: the JSON decoder calls itself for each level, and its limit of 1,000 levels is meant for larger stacks than the 256 KiB of an entry host's threads. It overflowed some 500 levels deep, and nobody who decodes expects a StackOverflowError.

Entries of daemons with a port out of range no longer keep the others from being used.

--- a/daemon/src/main/java/org/endivehold/daemon/entry/BarredTraitStore.java
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/BarredTraitStore.java
@@ -2,7 +2,6 @@
 
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.json.DecodeException;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import java.util.ArrayList;
@@ -10,12 +9,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Predicate;
+import org.endivehold.error.EndiveholdException;
 import org.endivehold.misc.LogEvent;
 import org.endivehold.misc.Ticker;
 import org.endivehold.relay.crash.CrashSuspects;
 import org.endivehold.relay.crash.RequestTrait;
 import org.endivehold.relay.crash.SuspectTrait;
 import org.endivehold.relay.crash.UpstreamStart;
+import org.endivehold.relay.json.BoundedJson;
 import org.endivehold.relay.state.SharedStore;
 import org.endivehold.relay.state.StoreLease;
 import org.jboss.logging.Logger;
@@ -86,7 +87,7 @@
     private void merge(SharedStore.Item item) {
         try {
             RequestTrait trait = RequestTrait.parse(item.key().substring(prefix.length()));
-            JsonObject json = new JsonObject(item.value());
+            JsonObject json = BoundedJson.object(item.value());
             List<SuspectTrait.Crash> crashes = new ArrayList<>();
             for (Object each : json.getJsonArray(CRASHES)) {
                 JsonObject crash = (JsonObject) each;
@@ -98,7 +99,7 @@
                     .with("trait", trait)
                     .with("crashes", crashes.size())
                     .info(log);
-        } catch (DecodeException | ClassCastException | NullPointerException | IllegalArgumentException e) {
+        } catch (EndiveholdException | ClassCastException | NullPointerException | IllegalArgumentException e) {
             LogEvent.of("trait-unreadable")
                     .with("key", item.key())
                     .with("reason", e.getMessage())
--- a/daemon/src/main/java/org/endivehold/daemon/entry/Registration.java
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/Registration.java
@@ -3,7 +3,6 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.json.DecodeException;
 import io.vertx.core.json.JsonObject;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -11,6 +10,7 @@
 import org.endivehold.error.ErrorType;
 import org.endivehold.misc.LogEvent;
 import org.endivehold.relay.RelaySettings;
+import org.endivehold.relay.json.BoundedJson;
 import org.endivehold.relay.peer.DaemonEntry;
 import org.endivehold.relay.peer.PeerMesh;
 import org.endivehold.relay.state.SharedStore;
@@ -144,14 +144,14 @@
 
     private Optional<DaemonEntry> daemon(SharedStore.Item item) {
         try {
-            JsonObject entry = new JsonObject(item.value());
+            JsonObject entry = BoundedJson.object(item.value());
             return Optional.of(new DaemonEntry(
                     item.key().substring(prefix.length()),
                     entry.getString(HOST),
                     entry.getInteger(PORT),
                     entry.getString(ZONE),
                     entry.getDouble(CAPACITY)));
-        } catch (DecodeException | ClassCastException | NullPointerException e) {
+        } catch (EndiveholdException | ClassCastException | NullPointerException | IllegalArgumentException e) {
             LogEvent.of("daemon-unreadable")
                     .with("key", item.key())
                     .with("reason", e.getMessage())
--- /dev/null
+++ b/relay/src/main/java/org/endivehold/relay/json/package-info.java
@@ -0,0 +1,2 @@
+/** Decoding of JSON documents that other programs write. */
+package org.endivehold.relay.json;
