A value or answer that cannot be handled does not end the watch

Cause: WatchedPrefix started the next call after its listener had handled the answer, so that anything thrown by the listener ended the watch for good, at every daemon that got the same answer, without a log line.

Ruled out: the store's client dropping the answer (there is no store-lost line, which a call without answer has).

Change: the next call follows in any case; after an answer that cannot be handled the range is read again. PrefixCopy reports each item by itself, and GuardedDecoder makes every failure of a decoder the one for malformed values.

Evidence: on the code before, anItemThatCannotBeHandledDoesNotEndTheWatch and anAnswerThatCannotBeHandledDoesNotEndTheWatch time out (two runs each, a RuntimeException and a StackOverflowError), and aValueThatTheDecoderCannotBearIsUnreadable ends with the StackOverflowError.

--- a/relay/src/main/java/org/endivehold/relay/state/ConfigurationState.java
+++ b/relay/src/main/java/org/endivehold/relay/state/ConfigurationState.java
@@ -19,13 +19,13 @@
 public final class ConfigurationState {
     private static final Logger log = Logger.getLogger(ConfigurationState.class);
 
-    private final StoreDecoder decoder;
+    private final GuardedDecoder decoder;
     private final List<Runnable> listeners = new ArrayList<>();
     private RoutingTable table;
     private Buffer document;
 
     ConfigurationState(StoreDecoder decoder) {
-        this.decoder = decoder;
+        this.decoder = new GuardedDecoder(decoder);
     }
 
     /** Adds a listener that runs after each change of the version in force. */
--- a/relay/src/main/java/org/endivehold/relay/state/FleetState.java
+++ b/relay/src/main/java/org/endivehold/relay/state/FleetState.java
@@ -34,6 +34,7 @@
     private static final Logger log = Logger.getLogger(FleetState.class);
 
     private final StoreDecoder decoder;
+    private final GuardedDecoder values;
     private final Ticker ticker;
     private final UpstreamAvailability availability;
     private final CopyAges ages;
@@ -56,6 +57,7 @@
      */
     public FleetState(StoreDecoder decoder, Ticker ticker, UpstreamAvailability availability, CopyAges ages) {
         this.decoder = decoder;
+        this.values = new GuardedDecoder(decoder);
         this.ticker = ticker;
         this.availability = availability;
         this.ages = ages;
@@ -149,7 +151,7 @@
 
     private void register(String id, SharedStore.Item item) {
         try {
-            UpstreamEntry entry = decoder.upstream(id, item.value());
+            UpstreamEntry entry = values.upstream(id, item.value());
             Upstream known = upstreams.get(id);
             compareStarts(known, entry, item.position().era());
             double coldUntil = ticker.millis() + entry.coldMillis();
--- a/relay/src/main/java/org/endivehold/relay/state/PrefixCopy.java
+++ b/relay/src/main/java/org/endivehold/relay/state/PrefixCopy.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.endivehold.misc.LogEvent;
+import org.jboss.logging.Logger;
 
 /**
  * A copy of the items under one prefix, as of a point in the store's history.
@@ -18,6 +20,8 @@
  * the older era, so they replace them even if the restored store holds older bytes.
  */
 final class PrefixCopy {
+    private static final Logger log = Logger.getLogger(PrefixCopy.class);
+
     private final ItemListener listener;
     private final Map<String, SharedStore.Item> items = new HashMap<>();
     private StorePosition position = StorePosition.NONE;
@@ -62,14 +66,31 @@
                 SharedStore.Item item =
                         new SharedStore.Item(change.key(), change.value().get(), change.position());
                 items.put(change.key(), item);
-                listener.written(item);
+                written(item);
             } else if (items.remove(change.key()) != null) {
-                listener.removed(change.key());
+                removed(change.key());
             }
         }
         position = StorePosition.latest(position, changes.position());
     }
 
+    /** Reports an item. A listener that fails on one item has to get the others all the same. */
+    private void written(SharedStore.Item item) {
+        guarded(item.key(), () -> listener.written(item));
+    }
+
+    private void removed(String key) {
+        guarded(key, () -> listener.removed(key));
+    }
+
+    private static void guarded(String key, Runnable report) {
+        try {
+            report.run();
+        } catch (RuntimeException | StackOverflowError e) {
+            LogEvent.of("item-not-handled").with("key", key).with("reason", e).warn(log);
+        }
+    }
+
     /** Returns whether a restored store holds an item with the bytes that are known; such an item was not written. */
     private static boolean isSameInOtherEra(SharedStore.Item known, SharedStore.Item item) {
         return known != null
@@ -86,14 +107,14 @@
             if (known == null || item.position().isAfter(known.position())) {
                 items.put(item.key(), item);
                 if (!isSameInOtherEra(known, item)) {
-                    listener.written(item);
+                    written(item);
                 }
             }
         }
         for (String key : missing) {
             if (!items.get(key).position().isAfter(range.position())) {
                 items.remove(key);
-                listener.removed(key);
+                removed(key);
             }
         }
         position = range.position();
--- a/relay/src/main/java/org/endivehold/relay/state/WatchedPrefix.java
+++ b/relay/src/main/java/org/endivehold/relay/state/WatchedPrefix.java
@@ -1,8 +1,11 @@
 package org.endivehold.relay.state;
 
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import java.util.List;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.endivehold.error.EndiveholdException;
 import org.endivehold.error.ErrorType;
@@ -216,29 +219,48 @@
         if (confirmedMillis > 0 && isFilled()) {
             vertx.setTimer((long) confirmedMillis + 1, timer -> startNextCall());
         } else if (rangeReadNeeded) {
-            store.range(prefix).onComplete(read -> {
-                if (read.succeeded()) {
-                    storeAnswered();
-                    rangeReadNeeded = false;
-                    if (!position().isAfter(read.result().position())) {
-                        replace(read.result());
-                    }
-                    startNextCall();
-                } else {
-                    failed(read.cause());
-                }
-            });
+            call(() -> store.range(prefix), this::rangeRead);
         } else {
             int waitMillis = failures > 0 ? CATCH_UP_WAIT_MILLIS : WATCH_WAIT_MILLIS;
-            store.watch(prefix, position(), waitMillis).onComplete(watched -> {
-                if (watched.succeeded()) {
+            call(() -> store.watch(prefix, position(), waitMillis), this::apply);
+        }
+    }
+
+    /**
+     * Makes a call and handles its answer. Another call follows in any case, since nothing else would start one: also
+     * if the call cannot be made or its answer cannot be handled.
+     */
+    private <T> void call(Supplier<Future<T>> call, Consumer<T> onAnswer) {
+        Future.succeededFuture()
+                .compose(ignored -> call.get())
+                .onFailure(this::failed)
+                .onSuccess(answer -> {
                     storeAnswered();
-                    apply(watched.result());
-                    startNextCall();
-                } else {
-                    failed(watched.cause());
-                }
-            });
+                    Future.succeededFuture(answer)
+                            .map(received -> {
+                                onAnswer.accept(received);
+                                return received;
+                            })
+                            .onSuccess(handled -> startNextCall())
+                            .onFailure(this::answerNotHandled);
+                });
+    }
+
+    /** Reads the whole range after a pause: what of the answer has been handled is not known. */
+    private void answerNotHandled(Throwable cause) {
+        LogEvent.of("store-answer-not-handled")
+                .with("prefix", prefix)
+                .with("revision", position().revision())
+                .with("reason", cause)
+                .warn(log);
+        rangeReadNeeded = true;
+        vertx.setTimer(MAX_BACKOFF_MILLIS, timer -> startNextCall());
+    }
+
+    private void rangeRead(SharedStore.Range range) {
+        rangeReadNeeded = false;
+        if (!position().isAfter(range.position())) {
+            replace(range);
         }
     }
 
@@ -278,7 +300,7 @@
                     .with("prefix", prefix)
                     .with("revision", position().revision())
                     .with("unheard_ms", Math.round(Math.min(sinceHeardMillis(), Integer.MAX_VALUE)))
-                    .with("reason", cause.getMessage())
+                    .with("reason", cause)
                     .warn(log);
         }
         int backoff = Math.min(MAX_BACKOFF_MILLIS, MIN_BACKOFF_MILLIS << Math.min(failures, 10));
--- a/relay/src/test/java/org/endivehold/relay/state/FleetStateTest.java
+++ b/relay/src/test/java/org/endivehold/relay/state/FleetStateTest.java
@@ -72,6 +72,18 @@
         assertEquals(Set.of("1"), usable());
     }
 
+    /** A decoder that fails in its own way on one value: that value names nothing, the others hold. */
+    @Test
+    void aValueThatTheDecoderCannotBearIsUnreadable() {
+        write("s/1", "a ready");
+        write("s/2", "a ready");
+        write("s/2", PlainTextDecoder.UNBEARABLE);
+        assertEquals(Set.of("1"), usable());
+        write("o/config", "5");
+        write("o/config", PlainTextDecoder.UNBEARABLE);
+        assertEquals(5, state.table().orElseThrow().version());
+    }
+
     @Test
     void theVersionInForceNeverDecreases() {
         write("o/config", "5");
--- a/relay/src/test/java/org/endivehold/relay/state/PlainTextDecoder.java
+++ b/relay/src/test/java/org/endivehold/relay/state/PlainTextDecoder.java
@@ -9,6 +9,15 @@
 
 /** Decodes upstream entries of the form {@code ZONE STATE [START]} and configurations that consist of a version. */
 final class PlainTextDecoder implements StoreDecoder {
+    /** A value that overflows the stack while it is decoded. */
+    static final String UNBEARABLE = "unbearable";
+
+    private static void overflow(Buffer value) {
+        if (value.toString().equals(UNBEARABLE)) {
+            throw new StackOverflowError();
+        }
+    }
+
     @Override
     public String operatorPrefix() {
         return "o/";
@@ -41,6 +50,7 @@
 
     @Override
     public RoutingTable configuration(Buffer value) throws EndiveholdException {
+        overflow(value);
         try {
             return RoutingTable.builder(Long.parseLong(value.toString())).build();
         } catch (NumberFormatException e) {
@@ -50,6 +60,7 @@
 
     @Override
     public UpstreamEntry upstream(String id, Buffer value) throws EndiveholdException {
+        overflow(value);
         String[] words = value.toString().split(" ", -1);
         if (words.length < 2) {
             throw new EndiveholdException(ErrorType.CONFIG_INVALID, value);
--- a/relay/src/test/java/org/endivehold/relay/state/WatchedPrefixTest.java
+++ b/relay/src/test/java/org/endivehold/relay/state/WatchedPrefixTest.java
@@ -10,14 +10,18 @@
 import io.vertx.core.buffer.Buffer;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.apache.commons.rng.simple.RandomSource;
 import org.endivehold.misc.Ticker;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class WatchedPrefixTest {
     private static final int LIMIT_SECONDS = 10;
@@ -26,10 +30,14 @@
     private final Context loop = vertx.getOrCreateContext();
     private final FakeStore store = new FakeStore();
     private final BlockingQueue<String> events = new LinkedBlockingQueue<>();
+    /** What the listener does before it handles an item, by key, or a new copy. */
+    private final Map<String, Runnable> failures = new ConcurrentHashMap<>();
+
     private final WatchedPrefix copy = new WatchedPrefix(
             vertx, store, "s/", Ticker.system(), RandomSource.SPLIT_MIX_64.create(1), new ItemListener() {
                 @Override
                 public void written(SharedStore.Item item) {
+                    failures.getOrDefault(item.key(), () -> {}).run();
                     events.add("+" + item.key() + "=" + item.value());
                 }
 
@@ -37,6 +45,11 @@
                 public void removed(String key) {
                     events.add("-" + key);
                 }
+
+                @Override
+                public void current(WatchedPrefix copy) {
+                    failures.getOrDefault("current", () -> {}).run();
+                }
             });
 
     @AfterEach
@@ -116,6 +129,46 @@
         return new SharedStore.Changes(List.of(change), position);
     }
 
+    /** One item that the listener cannot handle ended the watch: all later changes were missed. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void anItemThatCannotBeHandledDoesNotEndTheWatch(boolean overflowsTheStack) throws Exception {
+        failures.put("s/odd", () -> fail(overflowsTheStack));
+        store.write("s/a", "1");
+        store.write("s/odd", "1");
+        run(copy::start);
+        assertEquals(List.of("+s/a=1"), take(1));
+        run(() -> store.write("s/odd", "2"));
+        run(() -> store.write("s/b", "2"));
+        run(() -> store.remove("s/a"));
+        assertEquals(List.of("+s/b=2", "-s/a"), take(2));
+        assertEquals(store.position(), copy.position());
+    }
+
+    /** A failure outside of any item: the range is read again, and changes are followed from there. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void anAnswerThatCannotBeHandledDoesNotEndTheWatch(boolean overflowsTheStack) throws Exception {
+        store.write("s/a", "1");
+        run(copy::start);
+        assertEquals(List.of("+s/a=1"), take(1));
+        failures.put("current", () -> {
+            failures.clear();
+            fail(overflowsTheStack);
+        });
+        run(() -> store.write("s/b", "2"));
+        assertEquals(List.of("+s/b=2"), take(1));
+        run(() -> store.write("s/c", "3"));
+        assertEquals(List.of("+s/c=3"), take(1));
+    }
+
+    private static void fail(boolean overflowsTheStack) {
+        if (overflowsTheStack) {
+            throw new StackOverflowError();
+        }
+        throw new IllegalStateException("odd");
+    }
+
     /** The restored store gives revisions out again, beyond the one that this copy had reached. */
     @Test
     void followsAStoreThatWasRestoredFromAnOlderCopy() throws Exception {
