Streams are passed on in turns, at the pace of the caller

Cause: each pair of line feeds counted as an event, some 32,000 in a block of 64 KiB, each decoded and written by itself in one turn of the only event loop; nothing paused the engine while the caller had not taken what was written.

Ruled out: the 1 MiB bound of an event (it counts bytes without a line feed only).

Change: empty lines are no event, and are passed on with the next one or at the end. EventFlow passes a block on in turns of 256 events, writes those of a turn together, and pauses the source while a turn is pending or the caller is behind; it serves forwarded streams as well. After a large block, other connections have their turn.

--- a/relay/src/main/java/org/endivehold/relay/serve/Exchange.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/Exchange.java
@@ -15,7 +15,7 @@
  * <p>The response ends at the latest at the route's timeout or shortly before the caller's own deadline, whichever is
  * earlier. It is ended once; later calls that write have no effect.
  */
-final class Exchange {
+final class Exchange implements EventFlow.Sink {
     /** Margin before the caller's deadline for the response to reach the caller, in milliseconds. */
     private static final long RESPONSE_MARGIN_MILLIS = 30;
 
@@ -33,6 +33,7 @@
     private long deadlineTimer = -1;
     private boolean responseBegun;
     private int streamStatus;
+    private Buffer unwritten = Buffer.buffer();
     private boolean ended;
     private double firstEventMillis = -1;
     private double lastEventMillis;
@@ -123,6 +124,7 @@
         channel.beginStream(status, headers);
     }
 
+    /** Adds an event to those that {@link #flushEvents} writes. */
     void writeEvent(Buffer bytes) {
         if (ended) {
             return;
@@ -134,13 +136,28 @@
             longestGapMillis = Math.max(longestGapMillis, elapsedMillis() - lastEventMillis);
         }
         lastEventMillis = elapsedMillis();
-        channel.writeEvent(bytes);
+        unwritten.appendBuffer(bytes);
     }
 
-    void completeStream() {
+    @Override
+    public void flushEvents() {
+        if (!ended && unwritten.length() > 0) {
+            channel.writeEvents(unwritten);
+            unwritten = Buffer.buffer();
+        }
+    }
+
+    /**
+     * Ends the stream as complete.
+     *
+     * @param rest bytes of the upstream after its last event, which are no event
+     */
+    void completeStream(Buffer rest) {
         if (ended) {
             return;
         }
+        unwritten.appendBuffer(rest);
+        flushEvents();
         finish(streamStatus, "complete");
         channel.endStream();
     }
@@ -158,6 +175,7 @@
         if (ended) {
             return;
         }
+        flushEvents();
         finish(status, type.word());
         if (responseBegun) {
             channel.breakOff();
@@ -166,13 +184,13 @@
         }
     }
 
-    /** Returns whether the caller reads a stream more slowly than its events are written. */
-    boolean isCongested() {
+    @Override
+    public boolean isCongested() {
         return channel.isFull();
     }
 
-    /** Sets the action that runs once when the caller has read what was written. */
-    void onDrained(Runnable action) {
+    @Override
+    public void onDrained(Runnable action) {
         channel.onDrained(action);
     }
 
--- a/relay/src/main/java/org/endivehold/relay/serve/ForwardResponseChannel.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/ForwardResponseChannel.java
@@ -49,8 +49,8 @@
     }
 
     @Override
-    public void writeEvent(Buffer event) {
-        stream.send(new PeerMessage.ForwardedBytes(event));
+    public void writeEvents(Buffer events) {
+        stream.sendBytes(events);
     }
 
     @Override
--- a/relay/src/main/java/org/endivehold/relay/serve/ForwardedRequest.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/ForwardedRequest.java
@@ -57,7 +57,8 @@
     private boolean accepted;
     private PeerMessage.ForwardedHead head;
     private Buffer body = Buffer.buffer();
-    private EventSplitter splitter;
+    private StreamSource source;
+    private EventFlow flow;
     private long timer = -1;
     private boolean ended;
 
@@ -180,18 +181,27 @@
 
     private void received(PeerMessage message) {
         if (accepted) {
-            restartTimer(SILENCE_MILLIS);
-        }
-        if (message instanceof PeerMessage.ForwardAccepted && !accepted) {
+            receivedOfResponse(message);
+        } else if (message instanceof PeerMessage.ForwardAccepted) {
             sendRequest();
-        } else if (message instanceof PeerMessage.ForwardDeclined no && !accepted) {
+        } else if (message instanceof PeerMessage.ForwardDeclined no) {
             declined(no.reason());
-        } else if (message instanceof PeerMessage.ForwardedHead begun) {
+        } else if (message instanceof PeerMessage.ForwardedFailure failure) {
+            failed(failure);
+        }
+    }
+
+    private void receivedOfResponse(PeerMessage message) {
+        if (!source.paused) {
+            restartTimer(SILENCE_MILLIS);
+        }
+        if (message instanceof PeerMessage.ForwardedHead begun) {
             head = begun;
         } else if (message instanceof PeerMessage.ForwardedBytes part && head != null) {
             bytes(part.bytes());
         } else if (message instanceof PeerMessage.ForwardedEnd && head != null) {
-            complete();
+            stopTimer();
+            flow.whenDrained(this::complete);
         } else if (message instanceof PeerMessage.ForwardedFailure failure) {
             failed(failure);
         }
@@ -202,7 +212,8 @@
         restartTimer(SILENCE_MILLIS);
         head = null;
         body = Buffer.buffer();
-        splitter = new EventSplitter(this::event);
+        source = new StreamSource(stream);
+        flow = new EventFlow(context.vertx(), context.ticker(), exchange, source, new StreamEvents());
         sequence.beginAttempt(exchange.responseBegun());
         exchange.addStep("forwarded:" + daemon.name() + ":at=" + Math.round(exchange.elapsedMillis()));
         UpstreamClient.OutgoingRequest outgoing = request.outgoing();
@@ -234,8 +245,7 @@
 
     private void bytes(Buffer part) {
         if (head.stream()) {
-            splitter.feed(part);
-            pauseWhileCongested();
+            flow.feed(part);
             return;
         }
         body.appendBuffer(part);
@@ -244,20 +254,42 @@
         }
     }
 
-    /** Stops reading from the other daemon while the caller reads more slowly. */
-    private void pauseWhileCongested() {
-        if (ended || exchange.ended() || !exchange.isCongested()) {
-            return;
+    /** Reading from the other daemon; while it is paused, its silence says nothing. */
+    private final class StreamSource implements EventFlow.Source {
+        private final PeerStream read;
+        private boolean paused;
+
+        StreamSource(PeerStream read) {
+            this.read = read;
         }
-        PeerStream paused = stream;
-        paused.pause();
-        stopTimer();
-        exchange.onDrained(() -> {
-            paused.resume();
-            if (paused == stream && !ended) {
+
+        @Override
+        public void pause() {
+            paused = true;
+            read.pause();
+            stopTimer();
+        }
+
+        @Override
+        public void resume() {
+            paused = false;
+            read.resume();
+            if (read == stream && !ended) {
                 restartTimer(SILENCE_MILLIS);
             }
-        });
+        }
+    }
+
+    private final class StreamEvents implements EventFlow.Listener {
+        @Override
+        public void event(OptionalLong id, Buffer bytes) {
+            ForwardedRequest.this.event(id, bytes);
+        }
+
+        @Override
+        public void oversized() {
+            connectionLost("oversized");
+        }
     }
 
     private void event(OptionalLong id, Buffer event) {
@@ -283,7 +315,7 @@
         if (ended) {
             return;
         }
-        if (head.stream() && splitter.hasPartialEvent()) {
+        if (head.stream() && flow.hasPartialEvent()) {
             connectionLost("partial");
             return;
         }
@@ -291,7 +323,7 @@
         leaveDaemon();
         context.metrics().forwarded("answered");
         if (head.stream()) {
-            exchange.completeStream();
+            exchange.completeStream(flow.rest());
         } else {
             exchange.respond(head.status(), multiMap(head.headers()), body);
         }
@@ -358,6 +390,9 @@
             stream = null;
             left.close();
         }
+        if (flow != null) {
+            flow.stop();
+        }
         accepted = false;
     }
 }
--- a/relay/src/main/java/org/endivehold/relay/serve/HttpResponseChannel.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/HttpResponseChannel.java
@@ -46,8 +46,8 @@
     }
 
     @Override
-    public void writeEvent(Buffer event) {
-        response.write(event);
+    public void writeEvents(Buffer events) {
+        response.write(events);
     }
 
     @Override
--- a/relay/src/main/java/org/endivehold/relay/serve/ResponseChannel.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/ResponseChannel.java
@@ -20,8 +20,8 @@
     /** Begins an upstream's stream. */
     void beginStream(int status, MultiMap headers);
 
-    /** Sends one event of the stream. */
-    void writeEvent(Buffer event);
+    /** Sends some events of the stream. */
+    void writeEvents(Buffer events);
 
     /** Ends the stream as complete. */
     void endStream();
@@ -41,6 +41,6 @@
     /** Returns whether the other side reads more slowly than events are written. */
     boolean isFull();
 
-    /** Sets the action that runs once when the other side has read what was written. */
+    /** Sets the action that runs each time the other side has read what was written after {@link #isFull}. */
     void onDrained(Runnable action);
 }
--- a/relay/src/main/java/org/endivehold/relay/serve/StreamAttempt.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/StreamAttempt.java
@@ -19,7 +19,7 @@
  * One attempt of a generation request at the engines chosen for it: reserves their memory, sends the request, passes on
  * complete events, and keeps the request registered in {@link RelayContext#engineWork()} until the attempt ends.
  */
-final class StreamAttempt implements UpstreamAttempt.Listener {
+final class StreamAttempt implements UpstreamAttempt.Listener, EventFlow.Listener, EventFlow.Source {
     /** Is notified of the attempt's progress. All notifications but {@link #event} end the attempt. */
     interface Listener {
         /** Memory at another engine could not be reserved; the request was not sent. */
@@ -34,15 +34,19 @@
         /** The engine sent a complete response that is a refusal or an error instead of a stream. */
         void errorResponse(AnswerFacts head, MultiMap headers, Buffer body);
 
-        /** The stream has ended after a complete event. */
-        void complete();
+        /**
+         * The stream has ended after a complete event.
+         *
+         * @param rest bytes after the last event, which are no event
+         */
+        void complete(Buffer rest);
 
         /** The stream broke off, or its response cannot be trusted (wrong attempt id, no seal, incomplete event). */
         void broken(String cause);
     }
 
-    /** Largest event, and largest body of an error response, in bytes; what is larger is no answer of an engine. */
-    private static final int MAX_BUFFERED_BYTES = 1 << 20;
+    /** Largest body of an error response, in bytes; what is larger is no answer of an engine. */
+    private static final int MAX_ERROR_BYTES = 1 << 20;
     /** Time since the first event after which the prompt has not ended its engine, in milliseconds. */
     private static final double SOUND_AFTER_MILLIS = 1_000;
 
@@ -58,7 +62,7 @@
     private final OptionalLong resumeAfter;
     private final CrashGuard guard;
     private final Listener listener;
-    private final EventSplitter splitter = new EventSplitter(this::event);
+    private final EventFlow flow;
     private final Buffer errorBody = Buffer.buffer();
     private final PaceMeter paceMeter = new PaceMeter();
     private final double sentAt;
@@ -93,6 +97,7 @@
         this.resumeAfter = resumeAfter;
         this.guard = guard;
         this.listener = listener;
+        flow = new EventFlow(context.vertx(), context.ticker(), exchange, this, this);
         sentAt = context.now();
         lastEventAt = sentAt;
     }
@@ -134,9 +139,12 @@
         return ended;
     }
 
-    /** Returns the time of the last event in milliseconds, or of the start if there was none. */
+    /**
+     * Returns the time of the last event in milliseconds, or of the start if there was none. While the caller does not
+     * take what was written, nothing more is read, so the engine does not count as silent.
+     */
     double lastEventAt() {
-        return lastEventAt;
+        return Math.max(lastEventAt, flow.heldBackUntil());
     }
 
     /** Returns how far this attempt, which has been lost, had come at the engine that decodes it. */
@@ -170,6 +178,7 @@
             return;
         }
         ended = true;
+        flow.stop();
         if (reservation != null) {
             reservation.release();
         }
@@ -262,27 +271,40 @@
     public void data(Buffer bytes) {
         if (responseHead.success()
                 && responseHead.isTrusted(exchange.requestHead().attemptId())) {
-            splitter.feed(bytes);
-        } else {
-            errorBody.appendBuffer(bytes);
+            flow.feed(bytes);
+            return;
         }
-        if (!ended && Math.max(splitter.partialBytes(), errorBody.length()) > MAX_BUFFERED_BYTES) {
-            upstreamAttempt.cancel();
-            broken("oversized");
+        errorBody.appendBuffer(bytes);
+        if (errorBody.length() > MAX_ERROR_BYTES) {
+            oversized();
         }
     }
 
-    private void event(OptionalLong id, Buffer bytes) {
+    @Override
+    public void oversized() {
+        upstreamAttempt.cancel();
+        broken("oversized");
+    }
+
+    @Override
+    public void pause() {
+        upstreamAttempt.pause();
+    }
+
+    @Override
+    public void resume() {
+        upstreamAttempt.resume();
+    }
+
+    @Override
+    public void event(OptionalLong id, Buffer bytes) {
         if (ended) {
             return;
         }
         double now = context.now();
         context.health().recordActivity(job.decodeEngine(), now);
         if (eventReceived) {
-            paceMeter.addPause(now - lastEventAt);
-            paceMeter
-                    .pollFactor(profile.passMillis(1, (double) job.promptTokens()))
-                    .ifPresent(factor -> reportSlowdown(factor, now));
+            measurePace(now);
         } else {
             eventReceived = true;
             firstEventAt = now;
@@ -304,6 +326,16 @@
         listener.event(id, bytes);
     }
 
+    /** Adds the pause before an event to the engine's pace, unless the caller was slow. */
+    private void measurePace(double now) {
+        if (flow.heldBackUntil() < lastEventAt) {
+            paceMeter.addPause(now - lastEventAt);
+            paceMeter
+                    .pollFactor(profile.passMillis(1, (double) job.promptTokens()))
+                    .ifPresent(factor -> reportSlowdown(factor, now));
+        }
+    }
+
     /** Reports once that the engine answers this prompt without ending. */
     private void reportSound() {
         if (!reportedSound) {
@@ -319,6 +351,10 @@
 
     @Override
     public void complete() {
+        flow.whenDrained(this::responseEnded);
+    }
+
+    private void responseEnded() {
         String attemptId = exchange.requestHead().attemptId();
         releaseEngines();
         if (responseHead.belongsToOtherAttempt(attemptId)) {
@@ -327,13 +363,13 @@
             listener.errorResponse(responseHead, responseHeaders, errorBody);
         } else if (!responseHead.isTrusted(attemptId)) {
             broken("unsigned");
-        } else if (splitter.hasPartialEvent() || !eventReceived) {
+        } else if (flow.hasPartialEvent() || !eventReceived) {
             broken("partial");
         } else {
             if (!ConnectionHeaders.endsWithConnection(responseHeaders)) {
                 reportSound();
             }
-            listener.complete();
+            listener.complete(flow.rest());
         }
     }
 
--- a/relay/src/main/java/org/endivehold/relay/serve/StreamRequestHandler.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/StreamRequestHandler.java
@@ -298,10 +298,10 @@
     }
 
     @Override
-    public void complete() {
+    public void complete(Buffer rest) {
         withdrawPlacementRequest();
         watch.stop();
-        exchange.completeStream();
+        exchange.completeStream(rest);
     }
 
     @Override
--- a/relay/src/main/java/org/endivehold/relay/serve/UpstreamAttempt.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/UpstreamAttempt.java
@@ -1,6 +1,7 @@
 package org.endivehold.relay.serve;
 
 import io.vertx.core.MultiMap;
+import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
@@ -12,7 +13,7 @@
  * <p>Exactly one of {@code notSent}, {@code complete} and {@code broken} is reported to the listener, unless
  * {@link #cancel} comes first; nothing is reported after any of these.
  */
-final class UpstreamAttempt {
+final class UpstreamAttempt implements EventFlow.Source {
     /** Is notified of an attempt's progress. */
     interface Listener {
         /** No connection to the upstream could be opened; the request was not sent. */
@@ -31,14 +32,21 @@
         void broken(Throwable cause);
     }
 
+    /** Size of a block after which other connections have their turn, in bytes. */
+    private static final int LARGE_BLOCK_BYTES = 16 << 10;
+
+    private final Vertx vertx;
     private final Dialect headerCodec;
     private final Consumer<AnswerFacts> headObserver;
     private final Listener listener;
     private HttpClientRequest request;
+    private HttpClientResponse response;
+    private int pauses;
     private boolean ended;
 
     /** Creates an attempt; {@code headObserver} sees the head of the response before the listener does. */
-    UpstreamAttempt(Dialect headerCodec, Consumer<AnswerFacts> headObserver, Listener listener) {
+    UpstreamAttempt(Vertx vertx, Dialect headerCodec, Consumer<AnswerFacts> headObserver, Listener listener) {
+        this.vertx = vertx;
         this.headerCodec = headerCodec;
         this.headObserver = headObserver;
         this.listener = listener;
@@ -82,16 +90,40 @@
         return request != null;
     }
 
-    private void head(HttpClientResponse response) {
+    @Override
+    public void pause() {
+        pauses++;
+        if (pauses == 1 && !ended) {
+            response.pause();
+        }
+    }
+
+    @Override
+    public void resume() {
+        pauses--;
+        if (pauses == 0 && !ended) {
+            response.resume();
+        }
+    }
+
+    private void data(Buffer bytes) {
+        if (ended) {
+            return;
+        }
+        listener.data(bytes);
+        if (bytes.length() >= LARGE_BLOCK_BYTES) {
+            pause();
+            vertx.runOnContext(ignored -> resume());
+        }
+    }
+
+    private void head(HttpClientResponse received) {
         if (ended) {
             return;
         }
+        response = received;
         response.exceptionHandler(this::broken);
-        response.handler(bytes -> {
-            if (!ended) {
-                listener.data(bytes);
-            }
-        });
+        response.handler(this::data);
         response.endHandler(done -> complete());
         AnswerFacts head = headerCodec.parseResponse(response.statusCode(), response.headers());
         headObserver.accept(head);
--- a/relay/src/main/java/org/endivehold/relay/serve/UpstreamClient.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/UpstreamClient.java
@@ -1,6 +1,7 @@
 package org.endivehold.relay.serve;
 
 import io.vertx.core.MultiMap;
+import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
@@ -25,6 +26,7 @@
     /** Most open connections to one upstream: more than its slots can use, so that no request waits for one. */
     private static final int MAX_CONNECTIONS = 2_000;
 
+    private final Vertx vertx;
     private final HttpClient client;
     private final Dialect headerCodec;
     private final Ticker ticker;
@@ -32,6 +34,7 @@
     private final PathMonitor paths;
 
     UpstreamClient(RelayContext context) {
+        this.vertx = context.vertx();
         this.ticker = context.ticker();
         this.headerCodec = context.headerCodec();
         this.trafficListener = context.trafficListener();
@@ -65,8 +68,8 @@
                 .setURI(outgoing.uri())
                 .setHeaders(headers);
         double sentAt = (double) ticker.millis();
-        UpstreamAttempt attempt =
-                new UpstreamAttempt(headerCodec, head -> trafficListener.answered(upstream, head, sentAt), listener);
+        UpstreamAttempt attempt = new UpstreamAttempt(
+                vertx, headerCodec, head -> trafficListener.answered(upstream, head, sentAt), listener);
         client.request(options)
                 .onSuccess(opened -> {
                     paths.recordReached(upstream);
--- a/relay/src/test/java/org/endivehold/relay/serve/EventSplitterTest.java
+++ b/relay/src/test/java/org/endivehold/relay/serve/EventSplitterTest.java
@@ -25,7 +25,7 @@
             events.clear();
             ids.clear();
             for (int at = 0; at < stream.length(); at += cut) {
-                splitter.feed(Buffer.buffer(stream.substring(at, Math.min(stream.length(), at + cut))));
+                feed(Buffer.buffer(stream.substring(at, Math.min(stream.length(), at + cut))));
             }
             assertEquals(stream, String.join("", events));
             assertEquals(List.of(1L, 2L, 3L), ids);
@@ -33,16 +33,44 @@
         }
     }
 
+    private void feed(Buffer bytes) {
+        splitter.add(bytes);
+        splitter.pass(Integer.MAX_VALUE);
+    }
+
+    /** Each pair of line feeds counted as an event, some 32,000 in a block of 64 KiB. */
+    @Test
+    void emptyLinesAreNoEvent() {
+        feed(Buffer.buffer("\n".repeat(65_536)));
+        assertEquals(List.of(), events);
+        assertFalse(splitter.hasPartialEvent());
+        assertEquals(65_536, splitter.rest().length());
+        feed(Buffer.buffer("\r\nid: 1\ndata: a\n\n\n"));
+        assertEquals(List.of(1L), ids);
+        assertEquals("\n", splitter.rest().toString());
+        assertFalse(splitter.hasPartialEvent());
+    }
+
+    @Test
+    void stopsAfterANumberOfEventsAndGoesOnThere() {
+        splitter.add(Buffer.buffer(":\n\n".repeat(5)));
+        assertTrue(splitter.pass(2));
+        assertEquals(2, events.size());
+        assertTrue(splitter.pass(2));
+        assertFalse(splitter.pass(2));
+        assertEquals(5, events.size());
+    }
+
     @Test
     void aStreamThatEndsInsideAnEventLeavesAPart() {
-        splitter.feed(Buffer.buffer("id: 1\ndata: a\n\nid: 2\ndata"));
+        feed(Buffer.buffer("id: 1\ndata: a\n\nid: 2\ndata"));
         assertEquals(1, events.size());
         assertTrue(splitter.hasPartialEvent());
     }
 
     @Test
     void anEventWithoutAnIdPasses() {
-        splitter.feed(Buffer.buffer("data: x\n\n"));
+        feed(Buffer.buffer("data: x\n\n"));
         assertEquals(List.of(-1L), ids);
     }
 }
--- a/relay/src/test/java/org/endivehold/relay/serve/ScriptedUpstream.java
+++ b/relay/src/test/java/org/endivehold/relay/serve/ScriptedUpstream.java
@@ -30,6 +30,8 @@
         SILENT,
         /** The last line of the reply is sent again and again until the relay closes the connection. */
         ENDLESS,
+        /** The last event of the reply is sent again and again until the relay closes the connection. */
+        ENDLESS_EVENTS,
         /** Closed with a TCP reset, as the process ends; nothing listens on its port any more. */
         CRASH
     }
@@ -37,7 +39,7 @@
     /** A reply; {@code ATTEMPT} in its bytes is replaced by the attempt id of the request. */
     record Reply(String bytes, End end) {}
 
-    private static final int LINES_AT_ONCE = 100;
+    private static final int LINES_AT_ONCE = 20_000;
 
     private final ServerSocket server;
     private final Queue<Reply> replies = new ConcurrentLinkedQueue<>();
@@ -119,7 +121,9 @@
                 awaitRead(socket);
                 socket.setSoLinger(true, 0);
             } else if (reply.end() == End.ENDLESS) {
-                sendWithoutEnd(socket, bytes);
+                sendWithoutEnd(socket, bytes, "\n");
+            } else if (reply.end() == End.ENDLESS_EVENTS) {
+                sendWithoutEnd(socket, bytes, "\n\n");
             } else if (reply.end() == End.SILENT) {
                 int next = socket.getInputStream().read();
                 closed.add("closed " + next);
@@ -131,10 +135,14 @@
         }
     }
 
-    /** Repeats the last line of some bytes until the connection fails, and records how many bytes were sent. */
-    private void sendWithoutEnd(Socket socket, byte[] bytes) {
+    /**
+     * Repeats the last part of some bytes, which follows a separator and ends with one, until the connection fails, and
+     * records how many bytes were sent.
+     */
+    private void sendWithoutEnd(Socket socket, byte[] bytes, String separator) {
         String text = new String(bytes, StandardCharsets.UTF_8);
-        byte[] line = text.substring(text.lastIndexOf('\n', text.length() - 2) + 1)
+        int before = text.lastIndexOf(separator, text.length() - separator.length() - 1);
+        byte[] line = text.substring(before + separator.length())
                 .repeat(LINES_AT_ONCE)
                 .getBytes(StandardCharsets.UTF_8);
         long sent = 0;
