A request is sent on only after the closes that came with it have been read

Cause: the request was sent as soon as the connection to the upstream was open, in the same turn of the event loop in which the end of the caller's connection was waiting to be read.

Ruled out: the deadline timer (it runs after the ready connections of a turn, so it cannot come first).

Change: the request is sent in the turn after. What had arrived by then has been read, and the timers that are due have run.

--- a/relay/src/main/java/org/endivehold/relay/serve/UpstreamClient.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/UpstreamClient.java
@@ -19,6 +19,10 @@
  * <p>Each request has a connection of its own. A reused connection may deliver bytes of an earlier request, may have
  * been closed in between, or may lead to a process that had the address before. A new one costs the upstream a
  * millisecond and the request one round trip.
+ *
+ * <p>A request is sent in the turn of the event loop after the one in which its connection was opened. Whatever else
+ * has arrived by then has been read before. So a process that stood still, and finds requests of callers who have left
+ * meanwhile, learns that they have left before it sends on what they asked for.
  */
 final class UpstreamClient {
     /** Longest time to open a connection, in milliseconds: many round trips, but less than a lost packet costs. */
@@ -73,7 +77,7 @@
         client.request(options)
                 .onSuccess(opened -> {
                     paths.recordReached(upstream);
-                    attempt.opened(opened, outgoing.body());
+                    vertx.runOnContext(turn -> attempt.opened(opened, outgoing.body()));
                 })
                 .onFailure(failure -> {
                     paths.recordUnreached(upstream);
