The bodies that a daemon holds are bounded together

Cause: answers (8 MiB each) and requests (the operator's limit each) were bounded one by one, and their number not at all.

Change: HeldBytes bounds the sum of each kind to a sixth of the heap and evicts the largest share. An evicted answer counts as broken off; a request whose body does not fit is refused before it has been passed on. Incomplete events, error bodies and bodies by way of another daemon count.

--- a/daemon/src/main/java/org/endivehold/daemon/entry/EntryDaemon.java
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/EntryDaemon.java
@@ -43,6 +43,7 @@
 import org.endivehold.relay.serve.CrashMonitor;
 import org.endivehold.relay.serve.Dialect;
 import org.endivehold.relay.serve.EngineMemoryClient;
+import org.endivehold.relay.serve.HeldBodies;
 import org.endivehold.relay.serve.ReferencedCheck;
 import org.endivehold.relay.serve.RelayBounds;
 import org.endivehold.relay.serve.RelayContext;
@@ -145,6 +146,7 @@
         registration = new Registration(vertx, store, decoder.daemonPrefix(), entry, settings, mesh);
         PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
         RelayBounds bounds = settings.bounds();
+        HeldBodies bodies = HeldBodies.inHeap(Runtime.getRuntime().maxMemory());
         callers = new CallerServer(new RelayContext(
                 vertx,
                 ticker,
@@ -164,7 +166,8 @@
                 new ColdLimit(self),
                 new RetryShare(bounds.retryRatio(), bounds.retrySlack(), bounds.retryWindowMillis()),
                 daemons,
-                new RelayMetrics(registry)));
+                bodies,
+                new RelayMetrics(registry, bodies)));
         dispatcher.onForwardOffer(callers::offered);
         status = new StatusServer(vertx, settings, headerCodec.readinessPath(), registry, fleet::complete);
     }
--- a/relay/src/main/java/org/endivehold/relay/peer/PeerStream.java
+++ b/relay/src/main/java/org/endivehold/relay/peer/PeerStream.java
@@ -61,11 +61,9 @@
         }
     }
 
-    /** Sends a last message and closes the connection after it. */
-    public void end(PeerMessage message) {
-        if (!closed) {
-            socket.end(PeerCodec.encode(List.of(message)));
-        }
+    /** Sends a last message and closes the connection after it; the result completes when it has been written. */
+    public Future<Void> end(PeerMessage message) {
+        return closed ? Future.succeededFuture() : socket.end(PeerCodec.encode(List.of(message)));
     }
 
     /** Closes the connection. */
--- a/relay/src/main/java/org/endivehold/relay/serve/CallerServer.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/CallerServer.java
@@ -137,8 +137,11 @@
         HttpConnection connection = request.connection();
         active.begin();
         requestsByConnection.merge(connection, 1, Integer::sum);
-        Exchange exchange =
-                new Exchange(context, new HttpResponseChannel(request), requestHead, () -> requestEnded(connection));
+        RequestBody body = new RequestBody(context);
+        Exchange exchange = new Exchange(context, new HttpResponseChannel(request), requestHead, () -> {
+            body.release();
+            requestEnded(connection);
+        });
         if (sequence.isStopping()) {
             closeAfterResponse(request);
         }
@@ -147,17 +150,11 @@
             return;
         }
         request.exceptionHandler(failure -> exchange.addStep("request-broken"));
-        Buffer body = Buffer.buffer();
-        request.handler(bytes -> {
-            if (exchange.ended()) {
-                return;
-            }
-            body.appendBuffer(bytes);
-            if (body.length() > maxBodyBytes()) {
-                exchange.fail(413, ErrorType.BODY_TOO_LARGE, 0);
-            }
-        });
-        request.endHandler(read -> whenFleetKnown(exchange, MAX_FLEET_POLLS, () -> route(exchange, request, body)));
+        body.read(
+                request,
+                exchange,
+                maxBodyBytes(),
+                bytes -> whenFleetKnown(exchange, MAX_FLEET_POLLS, () -> route(exchange, request, bytes)));
     }
 
     /** Closes a connection after its response; first the rest of the request is read, or the response might be lost. */
--- a/relay/src/main/java/org/endivehold/relay/serve/EventFlow.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/EventFlow.java
@@ -115,6 +115,11 @@
         return splitter.hasPartialEvent();
     }
 
+    /** Returns the number of bytes that have not been passed on. */
+    int bufferedBytes() {
+        return splitter.bufferedBytes();
+    }
+
     /** Returns what follows the last event of a stream that has ended, see {@link EventSplitter#rest}. */
     Buffer rest() {
         return splitter.rest();
--- a/relay/src/main/java/org/endivehold/relay/serve/Exchange.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/Exchange.java
@@ -1,5 +1,6 @@
 package org.endivehold.relay.serve;
 
+import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import java.util.Optional;
@@ -104,14 +105,23 @@
         steps.append(step);
     }
 
-    /** Sends an upstream's response to the caller, without hop-by-hop headers. */
-    void respond(int status, MultiMap headers, Buffer body) {
+    /**
+     * Sends an upstream's response to the caller, without hop-by-hop headers.
+     *
+     * @return completes when the response has been written, or will not be
+     */
+    Future<Void> respond(int status, MultiMap headers, Buffer body) {
         if (ended) {
-            return;
+            return Future.succeededFuture();
         }
         responseBegun = true;
         finish(status, "answered");
-        channel.respond(status, headers, body);
+        return channel.respond(status, headers, body);
+    }
+
+    /** Ends the connection of a caller who does not read the response that was sent. */
+    void abandonResponse() {
+        channel.breakOff();
     }
 
     /** Writes the head of a streamed response; does nothing if it was written before. */
--- a/relay/src/main/java/org/endivehold/relay/serve/ForwardReceiver.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/ForwardReceiver.java
@@ -6,6 +6,8 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.BooleanSupplier;
+import org.endivehold.error.ErrorType;
+import org.endivehold.relay.limit.HeldBytes;
 import org.endivehold.relay.peer.PeerMessage;
 import org.endivehold.relay.peer.PeerStream;
 
@@ -18,6 +20,8 @@
     /** Requests of other daemons that are served at the same time. */
     private static final int MAX_REQUESTS = 512;
 
+    private static final int NOT_RUN_STATUS = 503;
+
     private final RelayContext context;
     private final RequestDispatcher dispatcher;
     private final ActiveRequests active;
@@ -65,7 +69,8 @@
         private final PeerStream stream;
         private final ForwardResponseChannel channel;
         private PeerMessage.ForwardedRequest head;
-        private final Buffer body = Buffer.buffer();
+        private final HeldBytes.Share held = context.bodies().requests().open(this::evicted);
+        private Buffer body = Buffer.buffer();
         private long pings = -1;
         private long arrivalTimer = -1;
         private boolean dispatched;
@@ -100,6 +105,7 @@
             if (!finished) {
                 finished = true;
                 requests--;
+                held.close();
                 context.vertx().cancelTimer(pings);
                 context.vertx().cancelTimer(arrivalTimer);
             }
@@ -110,6 +116,9 @@
                 head = request;
             } else if (message instanceof PeerMessage.ForwardedBytes part && head != null) {
                 body.appendBuffer(part.bytes());
+                if (!held.set(body.length())) {
+                    return;
+                }
             } else {
                 stream.close();
                 return;
@@ -118,10 +127,18 @@
                 stream.close();
             } else if (body.length() == head.bodyBytes() && !dispatched) {
                 dispatched = true;
+                held.pin();
                 dispatch();
             }
         }
 
+        /** Refuses the request, of which nothing has been sent on: its body does not fit beside those of others. */
+        private void evicted() {
+            body = Buffer.buffer();
+            finish();
+            channel.fail(NOT_RUN_STATUS, ErrorType.BUFFERS_FULL, RequestDispatcher.NO_SERVICE_RETRY_AFTER_MILLIS);
+        }
+
         private void dispatch() {
             MultiMap headers = MultiMap.caseInsensitiveMultiMap();
             head.headers().forEach(header -> headers.add(header.name(), header.value()));
--- a/relay/src/main/java/org/endivehold/relay/serve/ForwardResponseChannel.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/ForwardResponseChannel.java
@@ -1,5 +1,6 @@
 package org.endivehold.relay.serve;
 
+import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import java.util.ArrayList;
@@ -29,10 +30,10 @@
     }
 
     @Override
-    public void respond(int status, MultiMap headers, Buffer body) {
+    public Future<Void> respond(int status, MultiMap headers, Buffer body) {
         stream.send(new PeerMessage.ForwardedHead(status, false, list(headers)));
         stream.sendBytes(body);
-        stream.end(new PeerMessage.ForwardedEnd());
+        return stream.end(new PeerMessage.ForwardedEnd());
     }
 
     @Override
--- a/relay/src/main/java/org/endivehold/relay/serve/ForwardedRequest.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/ForwardedRequest.java
@@ -11,6 +11,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import org.endivehold.error.ErrorType;
+import org.endivehold.relay.limit.HeldBytes;
 import org.endivehold.relay.peer.DaemonEntry;
 import org.endivehold.relay.peer.PeerMessage;
 import org.endivehold.relay.peer.PeerStream;
@@ -47,6 +48,7 @@
     private final Runnable fallback;
     private final Set<String> asked = new HashSet<>();
     private final EventSequence sequence;
+    private final HeldBytes.Share held;
     private final int sends;
     private boolean counted;
     private boolean sentOnce;
@@ -61,6 +63,7 @@
     private EventFlow flow;
     private long timer = -1;
     private boolean ended;
+    private boolean responseSent;
 
     /**
      * Creates the handler; {@link #start} looks for a daemon.
@@ -91,6 +94,7 @@
         this.counted = progress.counted();
         this.sends = progress.sends();
         this.possibleRuns = progress.possibleRuns();
+        this.held = context.bodies().responses().open(this::evicted);
     }
 
     @Override
@@ -102,6 +106,19 @@
     public void cancel() {
         leaveDaemon();
         ended = true;
+        if (!responseSent) {
+            held.close();
+        }
+    }
+
+    /** All bodies together have become too large, and this response is the largest of them. */
+    private void evicted() {
+        body = Buffer.buffer();
+        if (responseSent) {
+            exchange.abandonResponse();
+        } else {
+            connectionLost("evicted");
+        }
     }
 
     private void offerToNext() {
@@ -249,7 +266,8 @@
             return;
         }
         body.appendBuffer(part);
-        if (body.length() > MAX_RESPONSE_BYTES) {
+        boolean fits = held.set(body.length());
+        if (fits && body.length() > MAX_RESPONSE_BYTES) {
             connectionLost("oversized");
         }
     }
@@ -325,12 +343,14 @@
         if (head.stream()) {
             exchange.completeStream(flow.rest());
         } else {
-            exchange.respond(head.status(), multiMap(head.headers()), body);
+            responseSent = true;
+            exchange.respond(head.status(), multiMap(head.headers()), body).onComplete(sent -> held.close());
         }
     }
 
     /** The other daemon gave up: if the request did not run there for a reason of its own, another one is asked. */
     private void failed(PeerMessage.ForwardedFailure failure) {
+        held.empty();
         leaveDaemon();
         context.metrics().forwarded(failure.type().word());
         boolean mayRunElsewhere = failure.status() == NOT_RUN_STATUS
@@ -362,6 +382,7 @@
             declined(reason);
             return;
         }
+        held.empty();
         exchange.addStep("lost:" + reason);
         context.metrics().forwarded("lost");
         context.neighbours().declined(daemon.name());
--- a/relay/src/main/java/org/endivehold/relay/serve/HttpResponseChannel.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/HttpResponseChannel.java
@@ -1,5 +1,6 @@
 package org.endivehold.relay.serve;
 
+import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
@@ -27,9 +28,9 @@
     }
 
     @Override
-    public void respond(int status, MultiMap headers, Buffer body) {
+    public Future<Void> respond(int status, MultiMap headers, Buffer body) {
         setHead(status, headers);
-        response.end(body);
+        return response.end(body);
     }
 
     @Override
--- a/relay/src/main/java/org/endivehold/relay/serve/PlainRequestHandler.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/PlainRequestHandler.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeoutException;
 import org.endivehold.error.ErrorType;
+import org.endivehold.relay.limit.HeldBytes;
 import org.endivehold.relay.route.Customer;
 import org.endivehold.relay.route.RelayService;
 import org.endivehold.relay.route.RequestKind;
@@ -41,6 +42,7 @@
     private final boolean counted;
     private final int priorRuns;
     private final CrashGuard guard;
+    private final HeldBytes.Share held;
     private final Set<String> tried = new HashSet<>();
     private UpstreamAttempt attempt;
     private Upstream upstream;
@@ -53,6 +55,7 @@
     private int possibleRuns;
 
     private boolean countedAsLoad;
+    private boolean responseSent;
     private long attemptTimer = -1;
 
     PlainRequestHandler(
@@ -75,6 +78,7 @@
         this.outgoing = outgoing;
         this.service = service;
         this.guard = new CrashGuard(context.crashes(), exchange, outgoing);
+        this.held = context.bodies().responses().open(this::evicted);
     }
 
     @Override
@@ -93,11 +97,26 @@
     @Override
     public void cancel() {
         endAttempt();
+        if (!responseSent) {
+            held.close();
+        }
         if (attempt != null) {
             attempt.cancel();
         }
     }
 
+    /** All bodies together have become too large, and this response is the largest of them. */
+    private void evicted() {
+        responseBody = Buffer.buffer();
+        if (responseSent) {
+            exchange.abandonResponse();
+            return;
+        }
+        exchange.addStep("evicted");
+        attempt.cancel();
+        broken(new IOException("response body too large beside others"));
+    }
+
     private void dispatch() {
         if (guard.refuses()) {
             giveUp(ErrorType.REQUEST_BARRED, CrashGuard.RETRY_AFTER_MILLIS);
@@ -121,6 +140,7 @@
         countedAsLoad = true;
         exchange.addStep("sent:" + upstream.id());
         responseBody = Buffer.buffer();
+        held.empty();
         UpstreamHeaderValues call = new UpstreamHeaderValues(
                 upstream.id(),
                 Math.max(1, exchange.remainingMillis()),
@@ -187,7 +207,8 @@
     @Override
     public void data(Buffer bytes) {
         responseBody.appendBuffer(bytes);
-        if (responseBody.length() > MAX_RESPONSE_BYTES) {
+        boolean fits = held.set(responseBody.length());
+        if (fits && responseBody.length() > MAX_RESPONSE_BYTES) {
             attempt.cancel();
             broken(new IOException("response body too large"));
         }
@@ -201,6 +222,7 @@
         if (head.belongsToOtherAttempt(exchange.requestHead().attemptId())) {
             rejectResponse("foreign");
         } else if (head.refused()) {
+            held.empty();
             exchange.addStep("refused:" + head.status());
             context.health().recordFailureAnswer(upstream.id(), now);
             retryAfterNoRun("refused", true, ErrorType.UPSTREAM_REFUSED);
@@ -227,13 +249,16 @@
         int status = responseHead.status();
         boolean impliesNotRun = status == 429 || status == 503 || status == 408;
         if (impliesNotRun) {
+            held.close();
             exchange.fail(502, ErrorType.UPSTREAM_BROKEN, 0);
         } else {
-            exchange.respond(status, responseHeaders, responseBody);
+            responseSent = true;
+            exchange.respond(status, responseHeaders, responseBody).onComplete(sent -> held.close());
         }
     }
 
     private void rejectResponse(String cause) {
+        held.empty();
         exchange.addStep(cause);
         retryAfterPossibleRun(cause);
     }
@@ -241,6 +266,7 @@
     @Override
     public void broken(Throwable cause) {
         endAttempt();
+        held.empty();
         exchange.addStep("broken");
         retryAfterPossibleRun("broken");
     }
--- a/relay/src/main/java/org/endivehold/relay/serve/RelayContext.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/RelayContext.java
@@ -40,6 +40,7 @@
  * @param coldLimit this daemon's share of the request rate of cold upstreams
  * @param retryShare this daemon's share of the retry budget
  * @param daemons daemons among which such limits are divided
+ * @param bodies the bodies that are held in memory
  * @param metrics counters and histograms of requests
  */
 public record RelayContext(
@@ -61,6 +62,7 @@
         ColdLimit coldLimit,
         RetryShare retryShare,
         DaemonCount daemons,
+        HeldBodies bodies,
         RelayMetrics metrics) {
     double now() {
         return ticker.millis();
--- a/relay/src/main/java/org/endivehold/relay/serve/RelayMetrics.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/RelayMetrics.java
@@ -1,9 +1,11 @@
 package org.endivehold.relay.serve;
 
 import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Timer;
 import java.time.Duration;
+import org.endivehold.relay.limit.HeldBytes;
 
 /** Counters and histograms of the serving path. */
 public final class RelayMetrics {
@@ -21,9 +23,17 @@
 
     private final MeterRegistry registry;
 
-    /** Creates the metrics; each is registered when it is first recorded. */
-    public RelayMetrics(MeterRegistry registry) {
+    /** Creates the metrics; those of requests are registered when they are first recorded. */
+    public RelayMetrics(MeterRegistry registry, HeldBodies bodies) {
         this.registry = registry;
+        heldBytes("requests", bodies.requests());
+        heldBytes("responses", bodies.responses());
+    }
+
+    private void heldBytes(String kind, HeldBytes held) {
+        Gauge.builder("endivehold.held.bytes", held, bytes -> (double) bytes.heldBytes())
+                .tag("kind", kind)
+                .register(registry);
     }
 
     /** Counts an ended request and records its duration; the status is 0 if the caller closed the connection. */
--- a/relay/src/main/java/org/endivehold/relay/serve/ResponseChannel.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/ResponseChannel.java
@@ -1,5 +1,6 @@
 package org.endivehold.relay.serve;
 
+import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import org.endivehold.error.ErrorType;
@@ -14,8 +15,8 @@
     /** Sets the action that runs when the other side closes the connection. */
     void onClosed(Runnable action);
 
-    /** Sends an upstream's response. */
-    void respond(int status, MultiMap headers, Buffer body);
+    /** Sends an upstream's response; the result completes when it has been written, or the connection has ended. */
+    Future<Void> respond(int status, MultiMap headers, Buffer body);
 
     /** Begins an upstream's stream. */
     void beginStream(int status, MultiMap headers);
--- a/relay/src/main/java/org/endivehold/relay/serve/StreamAttempt.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/StreamAttempt.java
@@ -10,6 +10,7 @@
 import org.endivehold.misc.LogEvent;
 import org.endivehold.relay.engine.EngineJob;
 import org.endivehold.relay.engine.Placement;
+import org.endivehold.relay.limit.HeldBytes;
 import org.endivehold.relay.route.Customer;
 import org.endivehold.relay.route.EngineProfile;
 import org.endivehold.relay.state.Upstream;
@@ -63,6 +64,7 @@
     private final CrashGuard guard;
     private final Listener listener;
     private final EventFlow flow;
+    private final HeldBytes.Share held;
     private final Buffer errorBody = Buffer.buffer();
     private final PaceMeter paceMeter = new PaceMeter();
     private final double sentAt;
@@ -98,6 +100,7 @@
         this.guard = guard;
         this.listener = listener;
         flow = new EventFlow(context.vertx(), context.ticker(), exchange, this, this);
+        held = context.bodies().responses().open(this::oversized);
         sentAt = context.now();
         lastEventAt = sentAt;
     }
@@ -179,6 +182,7 @@
         }
         ended = true;
         flow.stop();
+        held.close();
         if (reservation != null) {
             reservation.release();
         }
@@ -272,10 +276,11 @@
         if (responseHead.success()
                 && responseHead.isTrusted(exchange.requestHead().attemptId())) {
             flow.feed(bytes);
-            return;
+        } else {
+            errorBody.appendBuffer(bytes);
         }
-        errorBody.appendBuffer(bytes);
-        if (errorBody.length() > MAX_ERROR_BYTES) {
+        boolean fits = ended || held.set(flow.bufferedBytes() + errorBody.length());
+        if (fits && errorBody.length() > MAX_ERROR_BYTES) {
             oversized();
         }
     }
--- a/relay/src/test/java/org/endivehold/relay/serve/RelayFixture.java
+++ b/relay/src/test/java/org/endivehold/relay/serve/RelayFixture.java
@@ -49,6 +49,9 @@
 /** A relay on the loopback interface with scripted upstreams: two or more of a plain service, and as many engines. */
 final class RelayFixture implements AutoCloseable, FleetView {
     static final int TIMEOUT_MILLIS = 1_500;
+    /** Limit of all bodies in tests that do not concern it, in bytes. */
+    private static final long LARGE_LIMIT_BYTES = 64 << 20;
+
     private static final EngineProfile PROFILE = new EngineProfile(4, 100_000, 10, 0.5, 0, 0, 1_000, 0, 2_048);
 
     final List<ScriptedUpstream> plainUpstreams = new ArrayList<>();
@@ -74,6 +77,10 @@
 
     /** Creates a relay with a number of engines, and as many upstreams of a plain service. */
     RelayFixture(int count) throws Exception {
+        this(count, HeldBodies.withLimit(LARGE_LIMIT_BYTES));
+    }
+
+    RelayFixture(int count, HeldBodies bodies) throws Exception {
         for (int i = 0; i < count; i++) {
             plainUpstreams.add(new ScriptedUpstream());
             engines.add(new ScriptedUpstream());
@@ -138,7 +145,8 @@
                 new ColdLimit("d"),
                 new RetryShare(1, 100, 10_000),
                 onlyDaemon,
-                new RelayMetrics(new SimpleMeterRegistry())));
+                bodies,
+                new RelayMetrics(new SimpleMeterRegistry(), bodies)));
         port = freePort();
         await(server.listen(SocketAddress.inetSocketAddress(port, "127.0.0.1")));
     }
