The warm-up and the test fleet get different free ports

Cause: each port was closed before the next one was asked for, so the system could give it out again.

--- a/daemon/src/main/java/org/endivehold/daemon/entry/WarmUp.java
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/WarmUp.java
@@ -4,8 +4,6 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.ExecutionException;
@@ -34,6 +32,8 @@
     private static final long RUN_MILLIS = 1_700;
     /** Requests of each kind; the later ones find all state known. */
     private static final int ROUNDS = 3;
+    /** Ports of two daemons: for callers, readiness, peers and metrics. */
+    private static final int PORTS = 8;
 
     private static final long TIMEOUT_SECONDS = 20;
 
@@ -51,11 +51,13 @@
     private void runDaemons()
             throws InterruptedException, ExecutionException, TimeoutException, IOException, EndiveholdException {
         await(platform.start());
-        int firstPeers = freePort();
-        int secondPeers = freePort();
-        int callers = freePort();
-        EntryDaemon first = daemon(platform.settings("first", callers, freePort(), firstPeers, secondPeers));
-        EntryDaemon second = daemon(platform.settings("second", freePort(), freePort(), secondPeers, firstPeers));
+        FreePorts ports = FreePorts.find(PORTS);
+        int callers = ports.next();
+        int firstPeers = ports.next();
+        int secondPeers = ports.next();
+        EntryDaemon first = daemon(platform.settings("first", callers, ports.next(), firstPeers, secondPeers), ports);
+        EntryDaemon second =
+                daemon(platform.settings("second", ports.next(), ports.next(), secondPeers, firstPeers), ports);
         await(first.start());
         await(second.start());
         for (int i = 0; i < ROUNDS; i++) {
@@ -66,10 +68,10 @@
         await(vertx.close());
     }
 
-    private EntryDaemon daemon(String settingsText) throws IOException, EndiveholdException {
+    private EntryDaemon daemon(String settingsText, FreePorts ports) throws IOException, EndiveholdException {
         Path file = Files.createTempFile("endiveholdd", ".toml");
         Files.writeString(file, settingsText);
-        RelaySettings settings = BootFile.read(file, freePort());
+        RelaySettings settings = BootFile.read(file, ports.next());
         Files.delete(file);
         return new EntryDaemon(
                 vertx,
@@ -80,12 +82,6 @@
                 new OrderClient(vertx, Ticker.system(), new HeaderNames()));
     }
 
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
-        }
-    }
-
     private static void await(Future<?> future) throws InterruptedException, ExecutionException, TimeoutException {
         future.toCompletionStage().toCompletableFuture().get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
     }
--- a/daemon/src/test/java/org/endivehold/daemon/entry/TestFleet.java
+++ b/daemon/src/test/java/org/endivehold/daemon/entry/TestFleet.java
@@ -9,9 +9,6 @@
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.net.SocketAddress;
-import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -19,7 +16,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentSkipListMap;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.endivehold.relay.RelaySettings;
 import org.endivehold.relay.route.EngineProfile;
@@ -54,8 +50,9 @@
     record Answer(int status, String body, boolean complete, long millis) {}
 
     private static final int LIMIT_SECONDS = 20;
-    private static final int FIRST_PORT = 12_000;
-    private static final int END_OF_PORTS = 32_000;
+    /** For callers, readiness, peers and metrics. */
+    private static final int PORTS_OF_A_DAEMON = 4;
+
     private static final int TIMEOUT_MILLIS = 3_000;
     private static final int SERVICE_SIZE = 4;
     private static final EngineProfile PROFILE = new EngineProfile(8, 100_000, 1, 5, 0.5, 0, 1_000, 0, 2_048);
@@ -84,19 +81,20 @@
                 items.put("up/" + id, Buffer.buffer(id));
             }
         }
+        FreePorts ports = FreePorts.find(size * PORTS_OF_A_DAEMON);
         List<Integer> peerPorts = new ArrayList<>();
         for (int i = 0; i < size; i++) {
-            peerPorts.add(freePort());
+            peerPorts.add(ports.next());
         }
         for (int i = 0; i < size; i++) {
-            daemons.add(daemon(i, peerPorts));
+            daemons.add(daemon(i, peerPorts, ports));
         }
         for (Daemon daemon : daemons) {
             await(daemon.daemon().start());
         }
     }
 
-    private Daemon daemon(int index, List<Integer> peerPorts) throws Exception {
+    private Daemon daemon(int index, List<Integer> peerPorts, FreePorts ports) throws Exception {
         Map<String, UpstreamLink> links = new HashMap<>();
         for (Map.Entry<String, TestUpstream> upstream : upstreams.entrySet()) {
             links.put(upstream.getKey(), new UpstreamLink(upstream.getValue().address()));
@@ -108,10 +106,10 @@
                 "daemon-" + index,
                 "zone",
                 1,
-                local(freePort()),
-                local(freePort()),
+                local(ports.next()),
+                local(ports.next()),
                 seeds.get(index),
-                local(freePort()),
+                local(ports.next()),
                 seeds,
                 local(1),
                 1_000,
@@ -129,21 +127,6 @@
         return SocketAddress.inetSocketAddress(port, "127.0.0.1");
     }
 
-    /**
-     * Returns a port that nobody listens on, below those that the system gives to outgoing connections: one of these
-     * could take it before the daemon does.
-     */
-    private static int freePort() {
-        while (true) {
-            int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, END_OF_PORTS);
-            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
-                return socket.getLocalPort();
-            } catch (IOException e) {
-                // Somebody else has this port: the next one is tried.
-            }
-        }
-    }
-
     private static <T> T await(Future<T> future) throws Exception {
         return future.toCompletionStage().toCompletableFuture().get(LIMIT_SECONDS, TimeUnit.SECONDS);
     }
