SIGHUP is handled from the start

Cause: the handler was installed last.

Change: it is installed right after logging, and a signal that comes before the daemon can reload is kept.

Evidence: aSignalBeforeTheDaemonCanReloadIsKept; it needs the handler to be an object, so it cannot run on the code before.

--- a/daemon/src/main/java/org/endivehold/daemon/entry/EntryTool.java
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/EntryTool.java
@@ -40,6 +40,7 @@
     /** Runs the daemon until the process gets a signal to terminate. */
     public static void main(String[] args) {
         EntryLogging.install();
+        HangupSignal hangup = HangupSignal.install();
         if (args.length > 0 && args[0].equals(WARM_UP)) {
             warmUp();
             return;
@@ -63,7 +64,7 @@
                 new OrderClient(vertx, Ticker.system(), new HeaderNames()));
         long graceMillis = settings.bounds().graceMillis();
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon, graceMillis), "stop"));
-        HangupSignal.handle(() -> reload(daemon, file));
+        hangup.onSignal(() -> reload(daemon, file));
         daemon.start().onFailure(failure -> {
             System.err.println("endiveholdd: cannot start: " + failure.getMessage());
             Runtime.getRuntime().halt(EXIT_FAILED);
