Logging never waits for whoever reads the log

Cause: each line was written by the thread that logged, which is the only event loop.

A stop waits 0.2 s for the last lines.

--- a/daemon/src/main/java/org/endivehold/daemon/entry/EntryLogging.java
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/EntryLogging.java
@@ -2,35 +2,28 @@
 
 import io.netty.util.internal.logging.InternalLoggerFactory;
 import io.netty.util.internal.logging.JdkLoggerFactory;
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
 import java.util.logging.Handler;
 import java.util.logging.Level;
 import java.util.logging.LogManager;
-import java.util.logging.LogRecord;
 import java.util.logging.Logger;
-import java.util.logging.StreamHandler;
 
 /**
  * Sends all log lines of the daemon of an entry host to standard output through the JDK's own logging, which starts in
  * a fraction of the time of a log manager that is configured by a file.
  */
 final class EntryLogging {
+    /** Longest wait for the last lines before the process ends, in milliseconds. */
+    private static final long LAST_LINES_MILLIS = 200;
+
     /** Logs only warnings and errors; kept in a field, since the log manager refers to loggers weakly. */
     private static final Logger NETTY_LOGGER = Logger.getLogger("io.netty");
 
-    private EntryLogging() {}
+    private static final QueuedLogHandler HANDLER =
+            new QueuedLogHandler(new FileOutputStream(FileDescriptor.out), new KeyValueFormatter());
 
-    /** Writes each line at once, so that the last lines of a process that is killed are not lost. */
-    private static final class StandardOutputHandler extends StreamHandler {
-        StandardOutputHandler() {
-            super(System.out, new KeyValueFormatter());
-        }
-
-        @Override
-        public synchronized void publish(LogRecord record) {
-            super.publish(record);
-            flush();
-        }
-    }
+    private EntryLogging() {}
 
     /** Replaces the handlers of the root logger. */
     static void install() {
@@ -39,7 +32,12 @@
         for (Handler handler : root.getHandlers()) {
             root.removeHandler(handler);
         }
-        root.addHandler(new StandardOutputHandler());
+        root.addHandler(HANDLER);
         NETTY_LOGGER.setLevel(Level.WARNING);
     }
+
+    /** Gives the last lines a short time to be written; the process may end after it. */
+    static void awaitLastLines() {
+        HANDLER.awaitWritten(LAST_LINES_MILLIS);
+    }
 }
--- a/daemon/src/main/java/org/endivehold/daemon/entry/EntryTool.java
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/EntryTool.java
@@ -98,6 +98,7 @@
         daemon.stop().onComplete(done -> stopped.countDown());
         try {
             boolean inTime = stopped.await(graceMillis, TimeUnit.MILLISECONDS);
+            EntryLogging.awaitLastLines();
             Runtime.getRuntime().halt(inTime ? EXIT_OK : EXIT_FAILED);
         } catch (InterruptedException e) {
             Runtime.getRuntime().halt(EXIT_FAILED);
