A stream is resumed only where its position is known, and completed only there

Seen: other operators' report of error texts in the middle of streams, and of streams that ended as if they were complete.

Cause: EventSequence let events without an id pass in any attempt and ended the wait for the next id with the first of them; the end of the answer alone made the stream complete.

Ruled out: handleFailure and retryRefused (errors and refusals after events were broken off before, too).

Change: in an attempt that resumes a stream, events without an id are left out before the next id; the attempt completes the stream only if the last event of the caller or the next one has come; a begun stream without ids is not resumed. The same by way of another daemon.

--- a/relay/src/main/java/org/endivehold/relay/serve/EventSequence.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/EventSequence.java
@@ -11,7 +11,7 @@
     enum Verdict {
         /** It is the next one. */
         PASS,
-        /** The caller has it. */
+        /** The caller has it, or it does not belong to the stream. */
         REPEATED,
         /** Events before it are missing. */
         GAP
@@ -19,6 +19,7 @@
 
     private OptionalLong lastId;
     private boolean awaitingNextId;
+    private boolean lastIdRepeated;
 
     /** Creates a sequence that goes on after an event, or from the beginning. */
     EventSequence(OptionalLong lastId) {
@@ -33,12 +34,28 @@
     /** Begins another attempt; its first event has to be the next one if the caller has received any. */
     void beginAttempt(boolean resumes) {
         awaitingNextId = resumes;
+        lastIdRepeated = false;
     }
 
-    /** Decides about an event with an id, or one without. */
+    /**
+     * Returns whether an attempt that resumes the stream has not shown yet that it is at the caller's position: neither
+     * the last event that the caller has nor the next one has come.
+     */
+    boolean isPositionOpen() {
+        return awaitingNextId && !lastIdRepeated;
+    }
+
+    /**
+     * Decides about an event with an id, or one without. In an attempt that resumes the stream, what comes before the
+     * first id may belong to anything, such as the text of an error, so it is left out.
+     */
     Verdict next(OptionalLong id) {
+        if (id.isEmpty() && awaitingNextId) {
+            return Verdict.REPEATED;
+        }
         if (id.isPresent() && lastId.isPresent()) {
             if (id.getAsLong() <= lastId.getAsLong()) {
+                lastIdRepeated = id.getAsLong() == lastId.getAsLong();
                 return Verdict.REPEATED;
             }
             if (awaitingNextId && id.getAsLong() != lastId.getAsLong() + 1) {
--- a/relay/src/main/java/org/endivehold/relay/serve/ForwardedRequest.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/ForwardedRequest.java
@@ -333,8 +333,8 @@
         if (ended) {
             return;
         }
-        if (head.stream() && flow.hasPartialEvent()) {
-            connectionLost("partial");
+        if (head.stream() && (flow.hasPartialEvent() || sequence.isPositionOpen())) {
+            connectionLost(flow.hasPartialEvent() ? "partial" : "not-resumed");
             return;
         }
         ended = true;
@@ -387,7 +387,9 @@
         context.metrics().forwarded("lost");
         context.neighbours().declined(daemon.name());
         leaveDaemon();
+        boolean positionKnown = !exchange.responseBegun() || sequence.lastId().isPresent();
         boolean mayRunAgain = exchange.route().idempotent()
+                && positionKnown
                 && possibleRuns + 1 < exchange.route().maxAttempts()
                 && context.retryShare().tryTake(service, context.daemons().divisor(), context.now());
         possibleRuns++;
--- a/relay/src/main/java/org/endivehold/relay/serve/StreamRequestHandler.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/StreamRequestHandler.java
@@ -299,6 +299,11 @@
 
     @Override
     public void complete(Buffer rest) {
+        if (sequence.isPositionOpen()) {
+            exchange.addStep("not-resumed");
+            broken("not-resumed");
+            return;
+        }
         withdrawPlacementRequest();
         watch.stop();
         exchange.completeStream(rest);
@@ -374,7 +379,10 @@
     }
 
     private boolean mayResume() {
+        // Without an id, nobody can tell where another engine goes on.
+        boolean positionKnown = !exchange.responseBegun() || sequence.lastId().isPresent();
         return exchange.route().idempotent()
+                && positionKnown
                 && priorRuns + possibleRuns + 1 < exchange.route().maxAttempts()
                 && sends < MAX_SENDS;
     }
