An entry with an odd field names no upstream

Seen: other operators' report of odd entries (a number too large, a port out of range), and the review's reading of missing or mistyped versions and sequences that are not looked at.

--- a/daemon/src/main/java/org/endivehold/daemon/entry/Registration.java
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/Registration.java
@@ -34,6 +34,8 @@
     /** Longest time that the end of the lease may take when the daemon stops, in milliseconds. */
     private static final int END_TIMEOUT_MILLIS = 1_000;
 
+    private static final int MAX_PORT = 65_535;
+
     private static final String HOST = "host";
     private static final String PORT = "port";
     private static final String ZONE = "zone";
@@ -145,12 +147,16 @@
     private Optional<DaemonEntry> daemon(SharedStore.Item item) {
         try {
             JsonObject entry = BoundedJson.object(item.value());
-            return Optional.of(new DaemonEntry(
+            DaemonEntry daemon = new DaemonEntry(
                     item.key().substring(prefix.length()),
                     entry.getString(HOST),
                     entry.getInteger(PORT),
                     entry.getString(ZONE),
-                    entry.getDouble(CAPACITY)));
+                    entry.getDouble(CAPACITY));
+            if (daemon.port() <= 0 || daemon.port() > MAX_PORT || !(daemon.capacity() > 0)) {
+                throw new IllegalArgumentException("port or capacity is out of range");
+            }
+            return Optional.of(daemon);
         } catch (EndiveholdException | ClassCastException | NullPointerException | IllegalArgumentException e) {
             LogEvent.of("daemon-unreadable")
                     .with("key", item.key())
