The end of a peer's connection is reported to a handler that comes later

Cause: a forwarded request is looked at once doubts about this daemon's paths are settled.

Change: PeerStream runs the action at once if the connection has ended. The forwarding side sends its offer before it sets its actions, so that a timer it starts cannot outlive them.

--- a/daemon/src/main/java/org/endivehold/daemon/entry/QueuedLogHandler.java
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/QueuedLogHandler.java
@@ -10,6 +10,7 @@
 import java.util.logging.Handler;
 import java.util.logging.Level;
 import java.util.logging.LogRecord;
+import org.endivehold.misc.LogEvent;
 
 /**
  * Writes log lines on a thread of its own, so that whoever logs never waits for whoever reads the log.
@@ -67,7 +68,8 @@
 
     /** Returns the line that tells how many were dropped; it may exceed the bound of the queue by its length. */
     private String droppedLine() {
-        LogRecord record = new LogRecord(Level.WARNING, "event=log-lines-dropped lines=" + dropped);
+        LogEvent event = LogEvent.of("log-lines-dropped").with("lines", dropped);
+        LogRecord record = new LogRecord(Level.WARNING, event.toString());
         record.setLoggerName(QueuedLogHandler.class.getName());
         return formatter.format(record);
     }
--- a/relay/src/main/java/org/endivehold/relay/peer/PeerStream.java
+++ b/relay/src/main/java/org/endivehold/relay/peer/PeerStream.java
@@ -41,10 +41,16 @@
         return client.connect(address).map(PeerStream::new);
     }
 
-    /** Sets the actions for each message and for the end of the connection, whichever side ends it. */
+    /**
+     * Sets the actions for each message and for the end of the connection, whichever side ends it. If it has ended
+     * before, its action runs at once.
+     */
     public void handle(Consumer<PeerMessage> onMessage, Runnable onEnd) {
         receiver = onMessage;
         onClosed = onEnd;
+        if (closed) {
+            onEnd.run();
+        }
     }
 
     /** Sends a message; has no effect once the connection has ended. */
--- a/relay/src/main/java/org/endivehold/relay/serve/ForwardedRequest.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/ForwardedRequest.java
@@ -166,6 +166,8 @@
             return;
         }
         stream = opened;
+        opened.send(new PeerMessage.ForwardOffer(context.neighbours().self().name(), service, context.tableVersion()));
+        restartTimer(ANSWER_TIMEOUT_MILLIS);
         opened.handle(
                 message -> {
                     if (opened == stream) {
@@ -177,8 +179,6 @@
                         connectionLost("closed");
                     }
                 });
-        opened.send(new PeerMessage.ForwardOffer(context.neighbours().self().name(), service, context.tableVersion()));
-        restartTimer(ANSWER_TIMEOUT_MILLIS);
     }
 
     private void restartTimer(long millis) {
