--- a/relay/src/test/java/org/endivehold/relay/serve/DrainTest.java
+++ b/relay/src/test/java/org/endivehold/relay/serve/DrainTest.java
@@ -90,6 +90,27 @@
         }
     }
 
+    /** A connection that is closed with unread bytes is reset, and the caller may lose the refusal. */
+    @Test
+    void readsARefusedRequestToItsEndBeforeItClosesTheConnection() throws Exception {
+        try (RelayFixture relay = new RelayFixture();
+                Socket caller = new Socket(InetAddress.getLoopbackAddress(), relay.port())) {
+            Future<Void> drained = drain(relay);
+            while (sendRequest(relay).status() == 200) {
+                assertFalse(drained.isComplete());
+            }
+            String request = RawResponse.request("POST", "/safe/x", "body", "attempt: c", "remaining: 1200");
+            int head = request.length() - "body".length();
+            caller.getOutputStream().write(request.substring(0, head).getBytes(StandardCharsets.UTF_8));
+            byte[] status = caller.getInputStream().readNBytes("HTTP/1.1 503".length());
+            assertEquals("HTTP/1.1 503", new String(status, StandardCharsets.UTF_8));
+            caller.getOutputStream().write(request.substring(head).getBytes(StandardCharsets.UTF_8));
+            String rest = new String(caller.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+            assertTrue(rest.contains("connection: close"), rest);
+            RelayFixture.await(drained);
+        }
+    }
+
     private static void awaitClosedPort(RelayFixture relay) {
         for (int i = 0; i < 10 * MAX_REQUESTS; i++) {
             try {
