The own interface opens a connection for each call to an upstream

Seen: other operators' report of refusals that came once more on a kept connection: callers heard that a request which had run had not.

Cause: the clients of plain services and engines kept connections, and answers do not tell to which call they belong.

Ruled out: attempts and orders of entry hosts, which have a connection each, and whose answers name the attempt.

Change: no connection is used twice.

--- a/daemon/src/main/java/org/endivehold/daemon/upstream/UpstreamService.java
+++ b/daemon/src/main/java/org/endivehold/daemon/upstream/UpstreamService.java
@@ -27,7 +27,6 @@
  */
 public final class UpstreamService implements Service, UpstreamDirectory {
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
-    private static final int KEEP_ALIVE_SECONDS = 15;
     private static final int MAX_STREAM_CONNECTIONS = 512;
     private static final int MAX_CONTROL_CONNECTIONS = 8;
     private static final int MAX_QUEUED_REQUESTS = 1_024;
@@ -46,8 +45,8 @@
      */
     public UpstreamService(DaemonContext context) {
         vertx = context.vertx();
-        streamClient = newClient(MAX_STREAM_CONNECTIONS);
-        controlClient = newClient(MAX_CONTROL_CONNECTIONS);
+        streamClient = newClient(vertx, MAX_STREAM_CONNECTIONS);
+        controlClient = newClient(vertx, MAX_CONTROL_CONNECTIONS);
     }
 
     @Override
@@ -120,10 +119,14 @@
         return a.kind() == b.kind() && a.port() == b.port() && a.address().equals(b.address());
     }
 
-    private HttpClient newClient(int perUpstream) {
+    /**
+     * Returns a client that opens a connection for each call. Answers do not tell to which call they belong, so one
+     * that comes a second time on a connection that is used again would be taken for that of the next call.
+     */
+    static HttpClient newClient(Vertx vertx, int perUpstream) {
         HttpClientOptions options = new HttpClientOptions()
                 .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
-                .setKeepAliveTimeout(KEEP_ALIVE_SECONDS);
+                .setKeepAlive(false);
         PoolOptions pool = new PoolOptions().setHttp1MaxSize(perUpstream).setMaxWaitQueueSize(MAX_QUEUED_REQUESTS);
         return vertx.createHttpClient(options, pool);
     }
