--- a/relay/src/main/java/org/endivehold/relay/serve/EventSequence.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/EventSequence.java
@@ -41,7 +41,7 @@
      * Returns whether an attempt that resumes the stream has not shown yet that it is at the caller's position: neither
      * the last event that the caller has nor the next one has come.
      */
-    boolean isPositionOpen() {
+    boolean isPositionUnconfirmed() {
         return awaitingNextId && !lastIdRepeated;
     }
 
--- a/relay/src/main/java/org/endivehold/relay/serve/ForwardedRequest.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/ForwardedRequest.java
@@ -333,7 +333,7 @@
         if (ended) {
             return;
         }
-        if (head.stream() && (flow.hasPartialEvent() || sequence.isPositionOpen())) {
+        if (head.stream() && (flow.hasPartialEvent() || sequence.isPositionUnconfirmed())) {
             connectionLost(flow.hasPartialEvent() ? "partial" : "not-resumed");
             return;
         }
--- a/relay/src/main/java/org/endivehold/relay/serve/StreamRequestHandler.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/StreamRequestHandler.java
@@ -299,7 +299,7 @@
 
     @Override
     public void complete(Buffer rest) {
-        if (sequence.isPositionOpen()) {
+        if (sequence.isPositionUnconfirmed()) {
             exchange.addStep("not-resumed");
             broken("not-resumed");
             return;
