PlannedStopTest: one more request after the stop

The test now sends one more request after the stop, which must not be read. It is as strict: on the code before the change it guards, the stop never completes while the store does not answer, and the port answers 503 to the last request.

--- a/daemon/src/test/java/org/endivehold/daemon/entry/PlannedStopTest.java
+++ b/daemon/src/test/java/org/endivehold/daemon/entry/PlannedStopTest.java
@@ -28,6 +28,11 @@
                 answer = send(fleet, sent);
                 sent++;
             }
+            if (stopped.isComplete()) {
+                // The last request may have come just before the port closed; one after the stop must not be read.
+                answer = send(fleet, sent);
+                sent++;
+            }
             assertEquals(0, answer.status(), "the port is open until the end of the process");
             assertEquals(0, fleet.runs("a" + (sent - 1)));
             stopped.toCompletionStage().toCompletableFuture().get(LIMIT_SECONDS, TimeUnit.SECONDS);
