The priorities of routes and customers count in the cost of lateness

The priorities of routes and customers were decoded and read by nobody, so a long prompt of the least urgent route was worth thirteen short ones of the most urgent route.

Change: a request has a traffic class, the customer and the ranks that follow from the priorities; each rank doubles the cost of serving it late. Only services whose routes have several priorities have classes; for all others the class is the default and nothing changes.

--- a/relay/src/main/java/org/endivehold/relay/engine/EnginePlacement.java
+++ b/relay/src/main/java/org/endivehold/relay/engine/EnginePlacement.java
@@ -93,7 +93,7 @@
         this.engines = engines;
         this.need = need;
         this.now = now;
-        this.weight = EngineJob.weight(need.promptTokens());
+        this.weight = need.weight();
         this.preemptionFactor = 1 / (1 - tracker.splitPrefillShare(now));
     }
 
--- a/relay/src/main/java/org/endivehold/relay/engine/PromptNeed.java
+++ b/relay/src/main/java/org/endivehold/relay/engine/PromptNeed.java
@@ -1,5 +1,7 @@
 package org.endivehold.relay.engine;
 
+import org.endivehold.relay.route.TrafficClass;
+
 /**
  * The properties of a request on which its placement depends: its size, its latency targets and the time it has left.
  *
@@ -9,6 +11,7 @@
  * @param gapTargetMillis target for the gap between events
  * @param elapsedMillis time that the caller has already waited for the next event
  * @param remainingMillis time left until the answer has to be complete
+ * @param traffic whose request it is and how urgent it is
  */
 public record PromptNeed(
         long promptTokens,
@@ -16,7 +19,8 @@
         double firstEventTargetMillis,
         double gapTargetMillis,
         double elapsedMillis,
-        double remainingMillis) {
+        double remainingMillis,
+        TrafficClass traffic) {
     /** Shortest silence after which callers disconnect, in milliseconds, as the platform documents for requests. */
     private static final double MIN_CALLER_SILENCE_MILLIS = 2_000;
     /** Silence after which callers disconnect, in targets for the first event. */
@@ -26,6 +30,41 @@
     /** Part of that silence that is used; the rest covers network delay to the caller and prediction errors. */
     private static final double USABLE_SILENCE_SHARE = 0.8;
 
+    /** Creates the properties of a request of the default traffic class. */
+    public PromptNeed(
+            long promptTokens,
+            long outputTokens,
+            double firstEventTargetMillis,
+            double gapTargetMillis,
+            double elapsedMillis,
+            double remainingMillis) {
+        this(
+                promptTokens,
+                outputTokens,
+                firstEventTargetMillis,
+                gapTargetMillis,
+                elapsedMillis,
+                remainingMillis,
+                TrafficClass.DEFAULT);
+    }
+
+    /** Returns the same request in another traffic class. */
+    public PromptNeed withTraffic(TrafficClass other) {
+        return new PromptNeed(
+                promptTokens,
+                outputTokens,
+                firstEventTargetMillis,
+                gapTargetMillis,
+                elapsedMillis,
+                remainingMillis,
+                other);
+    }
+
+    /** Returns the cost of serving the request late, relative to a very short one of the lowest urgency. */
+    public double weight() {
+        return EngineJob.weight(promptTokens, traffic);
+    }
+
     /** Returns the same request some milliseconds later. */
     public PromptNeed after(double millis) {
         return new PromptNeed(
@@ -34,7 +73,8 @@
                 firstEventTargetMillis,
                 gapTargetMillis,
                 elapsedMillis + millis,
-                remainingMillis - millis);
+                remainingMillis - millis,
+                traffic);
     }
 
     /** Returns the memory that the request takes, in tokens. */
--- a/relay/src/main/java/org/endivehold/relay/engine/StartRule.java
+++ b/relay/src/main/java/org/endivehold/relay/engine/StartRule.java
@@ -49,7 +49,7 @@
         if (placement.firstTokenMillis() >= need.eventBudgetMillis()) {
             return false;
         }
-        double weight = EngineJob.weight(need.promptTokens());
+        double weight = need.weight();
         double value = Math.max(weight - placement.ownCost(), LATE_VALUE_SHARE * weight);
         return placement.costToOthers() <= MAX_COST_PER_VALUE * value;
     }
--- /dev/null
+++ b/relay/src/main/java/org/endivehold/relay/peer/FrameExtensions.java
@@ -0,0 +1,95 @@
+package org.endivehold.relay.peer;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.endivehold.relay.route.TrafficClass;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * Fields that were added to messages after their first version, at the end of a frame.
+ *
+ * <p>A frame is an array of messages. A daemon reads as many as the array has and ignores the bytes after it, so bytes
+ * there do not disturb a daemon of an earlier version. They hold an array of extensions, each with its kind, the index
+ * of the message that it belongs to, and its fields as bytes; a kind that is not known is skipped. A frame without
+ * extensions has the same bytes as in the first version.
+ */
+final class FrameExtensions {
+    private static final int TRAFFIC_CLASS = 1;
+
+    private FrameExtensions() {}
+
+    /** Packs what the messages hold beyond the fields of their first version. */
+    static void pack(MessagePacker packer, List<PeerMessage> messages) throws IOException {
+        List<Integer> extended = new ArrayList<>();
+        for (int i = 0; i < messages.size(); i++) {
+            if (!traffic(messages.get(i)).equals(TrafficClass.DEFAULT)) {
+                extended.add(i);
+            }
+        }
+        if (extended.isEmpty()) {
+            return;
+        }
+        packer.packArrayHeader(extended.size());
+        for (int index : extended) {
+            packer.packInt(TRAFFIC_CLASS).packInt(index);
+            byte[] fields = encode(traffic(messages.get(index)));
+            packer.packBinaryHeader(fields.length).writePayload(fields);
+        }
+    }
+
+    /** Adds what follows the messages of a frame to them. */
+    static void unpack(MessageUnpacker unpacker, List<PeerMessage> messages) throws IOException {
+        if (!unpacker.hasNext()) {
+            return;
+        }
+        int count = unpacker.unpackArrayHeader();
+        for (int i = 0; i < count; i++) {
+            int kind = unpacker.unpackInt();
+            int index = unpacker.unpackInt();
+            byte[] fields = unpacker.readPayload(unpacker.unpackBinaryHeader());
+            if (kind == TRAFFIC_CLASS && index >= 0 && index < messages.size()) {
+                messages.set(index, extend(messages.get(index), decode(fields)));
+            }
+        }
+    }
+
+    private static TrafficClass traffic(PeerMessage message) {
+        if (message instanceof PeerMessage.PlacementRequest request) {
+            return request.request().need().traffic();
+        } else if (message instanceof PeerMessage.JobPlaced placed) {
+            return placed.job().traffic();
+        } else if (message instanceof PeerMessage.PlacementChosen chosen) {
+            return chosen.job().traffic();
+        }
+        return TrafficClass.DEFAULT;
+    }
+
+    private static PeerMessage extend(PeerMessage message, TrafficClass traffic) {
+        if (message instanceof PeerMessage.PlacementRequest request) {
+            return new PeerMessage.PlacementRequest(request.request().withTraffic(traffic));
+        } else if (message instanceof PeerMessage.JobPlaced placed) {
+            return new PeerMessage.JobPlaced(placed.job().withTraffic(traffic), placed.decoding());
+        } else if (message instanceof PeerMessage.PlacementChosen chosen) {
+            return new PeerMessage.PlacementChosen(chosen.job().withTraffic(traffic), chosen.placement());
+        }
+        return message;
+    }
+
+    private static byte[] encode(TrafficClass traffic) throws IOException {
+        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+            packer.packString(traffic.customer());
+            packer.packInt(traffic.customerRank()).packInt(traffic.routeRank());
+            return packer.toByteArray();
+        }
+    }
+
+    private static TrafficClass decode(byte[] fields) throws IOException {
+        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(fields)) {
+            return new TrafficClass(unpacker.unpackString(), unpacker.unpackInt(), unpacker.unpackInt());
+        }
+    }
+}
--- a/relay/src/main/java/org/endivehold/relay/peer/PeerCodec.java
+++ b/relay/src/main/java/org/endivehold/relay/peer/PeerCodec.java
@@ -65,6 +65,7 @@
             for (PeerMessage message : messages) {
                 pack(packer, message);
             }
+            FrameExtensions.pack(packer, messages);
             byte[] bytes = packer.toByteArray();
             return Buffer.buffer(LENGTH_BYTES + bytes.length)
                     .appendInt(bytes.length)
@@ -183,6 +184,7 @@
             for (int i = 0; i < count; i++) {
                 messages.add(unpack(unpacker));
             }
+            FrameExtensions.unpack(unpacker, messages);
             return messages;
         } catch (IOException | MessagePackException | IllegalArgumentException e) {
             throw new EndiveholdException(ErrorType.PEER_PROTOCOL, "?", e.getMessage());
--- a/relay/src/main/java/org/endivehold/relay/route/RoutingTable.java
+++ b/relay/src/main/java/org/endivehold/relay/route/RoutingTable.java
@@ -16,6 +16,7 @@
     private final Map<String, Customer> customersByKey;
     private final boolean apiKeysRequired;
     private final CallerLimits limits;
+    private final PriorityRanks ranks;
 
     private RoutingTable(Builder builder) {
         version = builder.version;
@@ -28,6 +29,8 @@
         customersByKey = Map.copyOf(builder.customersByKey);
         apiKeysRequired = builder.requireApiKeys;
         limits = builder.limits;
+        ranks = new PriorityRanks(
+                routesByHost.values().stream().flatMap(List::stream).toList(), customersByKey.values());
     }
 
     /** Creates a builder of a table that is empty and requires no API keys. */
@@ -85,6 +88,17 @@
         return key == null ? Optional.empty() : Optional.ofNullable(customersByKey.get(key));
     }
 
+    /**
+     * Returns whose a request is and how urgent beside the others of the same service.
+     *
+     * @param service name of the service that serves it
+     * @param route its route
+     * @param customer its customer; empty on public routes
+     */
+    public TrafficClass trafficClass(String service, RelayRoute route, Optional<Customer> customer) {
+        return ranks.trafficClass(service, route, customer);
+    }
+
     private static String hostName(String host) {
         int colon = host.lastIndexOf(':');
         String name = colon < 0 ? host : host.substring(0, colon);
--- a/relay/src/main/java/org/endivehold/relay/schedule/CandidateFinder.java
+++ b/relay/src/main/java/org/endivehold/relay/schedule/CandidateFinder.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import org.endivehold.misc.Ticker;
 import org.endivehold.relay.engine.EngineCandidate;
-import org.endivehold.relay.engine.EngineJob;
 import org.endivehold.relay.limit.UpstreamHealth;
 import org.endivehold.relay.route.EngineProfile;
 import org.endivehold.relay.state.FleetView;
@@ -40,7 +39,7 @@
      */
     List<EngineCandidate> candidates(EngineRequest request, EngineProfile profile) {
         double now = ticker.millis();
-        double weight = EngineJob.weight(request.need().promptTokens());
+        double weight = request.need().weight();
         List<EngineCandidate> usable = new ArrayList<>();
         List<EngineCandidate> ejected = new ArrayList<>();
         for (Upstream upstream : fleet.upstreams(request.service())) {
--- a/relay/src/main/java/org/endivehold/relay/schedule/EngineRequest.java
+++ b/relay/src/main/java/org/endivehold/relay/schedule/EngineRequest.java
@@ -3,6 +3,7 @@
 import java.util.Set;
 import org.endivehold.relay.engine.JobId;
 import org.endivehold.relay.engine.PromptNeed;
+import org.endivehold.relay.route.TrafficClass;
 
 /**
  * Asks a scheduler for engines for one generation request.
@@ -21,6 +22,11 @@
         return new EngineRequest(id, service, need.after(millis), excluded, allowedCold, mayWait);
     }
 
+    /** Returns the same request in another traffic class. */
+    public EngineRequest withTraffic(TrafficClass traffic) {
+        return new EngineRequest(id, service, need.withTraffic(traffic), excluded, allowedCold, mayWait);
+    }
+
     /** Keeps immutable copies of the sets. */
     public EngineRequest {
         excluded = Set.copyOf(excluded);
--- a/relay/src/main/java/org/endivehold/relay/schedule/LocalScheduler.java
+++ b/relay/src/main/java/org/endivehold/relay/schedule/LocalScheduler.java
@@ -77,7 +77,7 @@
         }
 
         double weightPerPrefillMillis() {
-            return EngineJob.weight(request.need().promptTokens()) / prefillMillis();
+            return request.need().weight() / prefillMillis();
         }
     }
 
--- a/relay/src/main/java/org/endivehold/relay/serve/RelayContext.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/RelayContext.java
@@ -14,6 +14,7 @@
 import org.endivehold.relay.path.PathMonitor;
 import org.endivehold.relay.route.RelayService;
 import org.endivehold.relay.route.RoutingTable;
+import org.endivehold.relay.route.TrafficClass;
 import org.endivehold.relay.schedule.EngineScheduler;
 import org.endivehold.relay.schedule.JobReplicator;
 import org.endivehold.relay.state.FleetView;
@@ -73,6 +74,13 @@
         return fleet.table().map(RoutingTable::version).orElse(Long.MIN_VALUE);
     }
 
+    /** Returns whose a request is and how urgent beside the others of a service. */
+    TrafficClass trafficClass(RelayService service, Exchange exchange) {
+        return fleet.table()
+                .map(table -> table.trafficClass(service.name(), exchange.route(), exchange.customer()))
+                .orElse(TrafficClass.DEFAULT);
+    }
+
     /** Records that an upstream failed; if this daemon's own paths are at fault, that says nothing of the upstream. */
     void recordFailure(String upstream) {
         if (paths.areOpen()) {
--- a/relay/src/main/java/org/endivehold/relay/serve/StreamRequestHandler.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/StreamRequestHandler.java
@@ -13,6 +13,7 @@
 import org.endivehold.relay.engine.PromptNeed;
 import org.endivehold.relay.route.RelayRoute;
 import org.endivehold.relay.route.RelayService;
+import org.endivehold.relay.route.TrafficClass;
 import org.endivehold.relay.schedule.EngineRequest;
 import org.endivehold.relay.schedule.EngineScheduler;
 import org.endivehold.relay.state.Upstream;
@@ -41,6 +42,7 @@
     private final int priorRuns;
     private final EventSequence sequence;
     private final CrashGuard guard;
+    private final TrafficClass traffic;
     private final Set<String> excludedEngines = new HashSet<>();
     private Optional<JobId> pendingPlacement = Optional.empty();
     private StreamAttempt attempt;
@@ -68,6 +70,7 @@
         this.outgoing = outgoing;
         this.service = service;
         this.guard = new CrashGuard(context.crashes(), exchange, outgoing);
+        this.traffic = context.trafficClass(service, exchange);
     }
 
     @Override
@@ -101,7 +104,8 @@
                 exchange.responseBegun() ? gapTarget : route.targetMillis(),
                 gapTarget,
                 exchange.waitingMillis(),
-                (double) exchange.remainingMillis());
+                (double) exchange.remainingMillis(),
+                traffic);
     }
 
     /** Asks the scheduler for engines and sends the request to them, or refuses the request if there are none. */
