Command "requests": who asked for how much, who got it and who waited

Cause: under a shortage of engines it has to be seen which callers pay, by customer, route, prompt length and daemon; the logs hold it line by line only.

Reading log files moved from ExplainCommand to LogFiles, as both need it.

--- a/cli/src/main/java/org/endivehold/cli/ExplainCommand.java
+++ b/cli/src/main/java/org/endivehold/cli/ExplainCommand.java
@@ -7,14 +7,9 @@
 import com.github.rvesse.airline.annotations.restrictions.Required;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
-import java.io.IOException;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.stream.Stream;
 import org.endivehold.error.EndiveholdException;
-import org.endivehold.error.ErrorType;
 
 /** Explains the outcome of a request from the daemons' log files, without contacting a daemon. */
 @Command(name = "explain", description = "Explain what became of a request, from the daemons' log files")
@@ -32,11 +27,7 @@
 
     @Override
     ExitCode run() throws EndiveholdException {
-        List<LogLine> lines = new ArrayList<>();
-        for (String file : logs) {
-            lines.addAll(read(file));
-        }
-        List<String> text = new RequestExplanation(lines, request).text();
+        List<String> text = new RequestExplanation(LogFiles.read(logs), request).text();
         if (!printIfJson(new JsonObject().put("explanation", new JsonArray(text)))) {
             text.forEach(this::print);
             if (text.isEmpty()) {
@@ -45,15 +36,4 @@
         }
         return text.isEmpty() ? ExitCode.FAULTS : ExitCode.OK;
     }
-
-    private static List<LogLine> read(String file) throws EndiveholdException {
-        try (Stream<String> all = Files.lines(Path.of(file))) {
-            return all.flatMap(line -> LogLine.parse(file, line).stream()).toList();
-        } catch (IOException e) {
-            throw new ToolFailure(
-                    ErrorType.OBJECT_UNKNOWN,
-                    "the log file " + file + " cannot be read",
-                    "check the path and its permissions");
-        }
-    }
 }
--- a/cli/src/main/java/org/endivehold/cli/OperatorTool.java
+++ b/cli/src/main/java/org/endivehold/cli/OperatorTool.java
@@ -21,6 +21,7 @@
             TopCommand.class,
             TraceCommand.class,
             ExplainCommand.class,
+            RequestsCommand.class,
             CompletionCommand.class
         },
         groups = {
