Take the waiting requests out of LocalScheduler into Backlog, with a hook for claims of room

Cause: the order of the waiting requests could only be tested through timers and the event loop, and a planner of room for large prompts needs to know which request could not be placed. Change: Backlog keeps the waiting requests and runs a turn; the order is unchanged. firstUnplaced names the first request for which the last turn found no engines. RoomClaims, set at LocalScheduler, reduces the candidates of a search and learns of the end of each turn and of requests that are not waiting any more.

--- a/relay/src/main/java/org/endivehold/relay/schedule/LocalScheduler.java
+++ b/relay/src/main/java/org/endivehold/relay/schedule/LocalScheduler.java
@@ -1,14 +1,12 @@
 package org.endivehold.relay.schedule;
 
 import io.vertx.core.Vertx;
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.endivehold.misc.Ticker;
+import org.endivehold.relay.engine.EngineCandidate;
 import org.endivehold.relay.engine.EngineJob;
 import org.endivehold.relay.engine.EnginePlacement;
 import org.endivehold.relay.engine.JobId;
@@ -23,16 +21,14 @@
 /**
  * Places requests at this daemon, based only on the jobs in its own tracker.
  *
- * <p>A request is sent if the {@link StartRule} admits it, otherwise it waits. Waiting requests are tried again in
- * descending order of weight per prefill time.
+ * <p>A request is sent if the {@link StartRule} admits it, otherwise it waits in the {@link Backlog}, which decides in
+ * which order the waiting requests are tried again.
  */
 public final class LocalScheduler implements EngineScheduler {
     /** Pause after which waiting requests are tried again even if no capacity was reported free, in milliseconds. */
     private static final int RETRY_MILLIS = 25;
     /** Maximum number of waiting requests. */
     private static final int MAX_WAITING = 2_000;
-    /** Maximum number of requests for which engines are searched in one turn, to keep the event loop responsive. */
-    private static final int MAX_TRIES = 8;
     /** Shortest time after which the caller of a refused request may retry, in milliseconds. */
     private static final int MIN_RETRY_AFTER_MILLIS = 400;
     /** Time added for each waiting request, so that callers do not all retry together, in milliseconds. */
@@ -45,7 +41,9 @@
     private final UpstreamHealth health;
     private final JobReplicator jobs;
     private final CandidateFinder finder;
-    private final Map<JobId, WaitingRequest> waiting = new LinkedHashMap<>();
+    private final Backlog backlog = new Backlog(MAX_WAITING);
+    private final Backlog.Decisions decisions = new TurnDecisions();
+    private RoomClaims claims = RoomClaims.NONE;
     private boolean scheduled;
 
     /** Creates a scheduler without requests. */
@@ -67,18 +65,9 @@
         jobs.onCapacityFreed(this::capacityFreed);
     }
 
-    private record WaitingRequest(EngineRequest request, EngineProfile profile, Listener listener, double submittedAt) {
-        PromptNeed need(double now) {
-            return request.need().after(now - submittedAt);
-        }
-
-        double prefillMillis() {
-            return profile.prefillMillis(request.need().promptTokens(), 1);
-        }
-
-        double weightPerPrefillMillis() {
-            return request.need().weight() / prefillMillis();
-        }
+    /** Keeps room free for waiting requests as decided by these claims. */
+    public void setClaims(RoomClaims value) {
+        claims = value;
     }
 
     @Override
@@ -93,27 +82,28 @@
             return;
         }
         boolean refuse = StartRule.shouldRefuse(entry.prefillMillis(), request.need());
-        if (!request.mayWait() || refuse || waiting.size() >= MAX_WAITING) {
+        if (!request.mayWait() || refuse || !backlog.add(entry)) {
             listener.refused(retryAfterMillis(request.need()));
             return;
         }
-        waiting.put(request.id(), entry);
         scheduleTurn(RETRY_MILLIS);
     }
 
     @Override
     public void withdraw(JobId id) {
-        waiting.remove(id);
+        if (backlog.remove(id)) {
+            claims.removed(id);
+        }
     }
 
     /** Returns whether a request is waiting here. */
     boolean isWaiting(JobId id) {
-        return waiting.containsKey(id);
+        return backlog.contains(id);
     }
 
     /** Withdraws all requests that one run of a daemon submitted. */
     public void withdrawAll(String daemon) {
-        waiting.keySet().removeIf(id -> id.daemon().equals(daemon));
+        backlog.submittedBy(daemon).forEach(this::withdraw);
     }
 
     private double now() {
@@ -135,8 +125,8 @@
         double now = now();
         PromptNeed need = entry.need(now);
         EngineRequest request = entry.request();
-        Optional<Placement> found =
-                EnginePlacement.place(jobs.tracker(), finder.candidates(request, entry.profile()), need, now);
+        List<EngineCandidate> candidates = claims.available(request, finder.candidates(request, entry.profile()), now);
+        Optional<Placement> found = EnginePlacement.place(jobs.tracker(), candidates, need, now);
         if (found.isEmpty() || !StartRule.admits(found.get(), need)) {
             return false;
         }
@@ -149,7 +139,7 @@
 
     /** Tries the waiting requests soon, since a job has finished its prefill or ended. */
     private void capacityFreed() {
-        if (!waiting.isEmpty()) {
+        if (backlog.size() > 0) {
             scheduleTurn(1);
         }
     }
@@ -157,7 +147,7 @@
     private double retryAfterMillis(PromptNeed need) {
         double randomDelay = MIN_RETRY_AFTER_MILLIS + random.nextInt(MIN_RETRY_AFTER_MILLIS);
         double loadDelay = StartRule.retryAfterMillis(jobs.tracker().meanPendingPrefillMillis(), need);
-        return randomDelay + loadDelay + RETRY_AFTER_PER_WAITING_MILLIS * waiting.size();
+        return randomDelay + loadDelay + RETRY_AFTER_PER_WAITING_MILLIS * backlog.size();
     }
 
     private void scheduleTurn(int millis) {
@@ -169,26 +159,34 @@
 
     private void runTurn() {
         scheduled = false;
-        List<WaitingRequest> order = new ArrayList<>(waiting.values());
-        order.sort(Comparator.comparingDouble(WaitingRequest::weightPerPrefillMillis)
-                .reversed());
-        int tries = 0;
-        for (WaitingRequest entry : order) {
-            JobId id = entry.request().id();
-            if (!waiting.containsKey(id)) {
-                continue;
-            }
-            PromptNeed need = entry.need(now());
-            if (tries < MAX_TRIES && tryPlace(entry)) {
-                waiting.remove(id);
-            } else if (StartRule.shouldRefuse(entry.prefillMillis(), need)) {
-                waiting.remove(id);
-                entry.listener().refused(retryAfterMillis(need));
+        Set<String> services = backlog.services();
+        backlog.runTurn(decisions);
+        services.forEach(service -> claims.turnEnded(service, backlog.firstUnplaced(service), now()));
+        if (backlog.size() > 0) {
+            scheduleTurn(RETRY_MILLIS);
+        }
+    }
+
+    /** Decides on the requests of a turn by the tracked jobs and the {@link StartRule}. */
+    private final class TurnDecisions implements Backlog.Decisions {
+        @Override
+        public boolean tryPlace(WaitingRequest entry) {
+            boolean placed = LocalScheduler.this.tryPlace(entry);
+            if (placed) {
+                claims.removed(entry.id());
             }
-            tries++;
+            return placed;
         }
-        if (!waiting.isEmpty()) {
-            scheduleTurn(RETRY_MILLIS);
+
+        @Override
+        public boolean shouldRefuse(WaitingRequest entry) {
+            return StartRule.shouldRefuse(entry.prefillMillis(), entry.need(now()));
+        }
+
+        @Override
+        public void refuse(WaitingRequest entry) {
+            claims.removed(entry.id());
+            entry.listener().refused(retryAfterMillis(entry.need(now())));
         }
     }
 }
