Search engines for waiting requests of every length in every turn

Cause: a turn tried the first eight requests by weight per prefill time. Eight short prompts that fitted nowhere kept a long prompt that fitted elsewhere from being tried until it was refused. The order of the requests is unchanged. A request that no search was made for is refused only if a search of its group failed in that turn.

--- a/relay/src/main/java/org/endivehold/relay/schedule/Backlog.java
+++ b/relay/src/main/java/org/endivehold/relay/schedule/Backlog.java
@@ -14,7 +14,14 @@
 /**
  * The requests that wait for engines, and the order in which they are tried.
  *
- * <p>Requests are tried in descending order of weight per prefill time.
+ * <p>Requests are tried in descending order of weight per prefill time. A turn searches engines for a few of them only.
+ * Prompts of similar length form a group, and each group gets searches in every turn: requests that fit nowhere do not
+ * hide those of other groups. A request for which no search was made in a turn is refused only if a search of its group
+ * found no engines in that turn.
+ *
+ * <p>Example: a hundred short prompts wait for a slot, since all engines that have memory for them are full, and a long
+ * one waits. Of the 8 searches of a turn the short prompts get 7 and the long one gets 1. It is placed as soon as
+ * engines suit it, although it comes last in order.
  */
 public final class Backlog {
     /** Maximum number of requests for which engines are searched in one turn, to keep the event loop responsive. */
@@ -26,6 +33,7 @@
     private final int capacity;
     private final Map<JobId, WaitingRequest> waiting = new LinkedHashMap<>();
     private final Map<String, WaitingRequest> firstUnplaced = new HashMap<>();
+    private int turns;
 
     /** Decides on the requests that a turn considers. */
     interface Decisions {
@@ -105,23 +113,33 @@
         firstUnplaced.clear();
         List<WaitingRequest> order = new ArrayList<>(waiting.values());
         order.sort(BY_WEIGHT);
-        int searches = 0;
+        SearchBudget budget = searchBudget(order);
         for (WaitingRequest entry : order) {
-            if (!contains(entry.id())) {
-                continue;
+            if (contains(entry.id())) {
+                consider(entry, budget, decisions);
             }
-            boolean searched = searches < MAX_SEARCHES;
-            searches++;
-            if (searched && decisions.tryPlace(entry)) {
+        }
+    }
+
+    private SearchBudget searchBudget(List<WaitingRequest> order) {
+        Map<PromptGroup, Integer> sizes = new LinkedHashMap<>();
+        order.forEach(entry -> sizes.merge(PromptGroup.of(entry), 1, Integer::sum));
+        return new SearchBudget(MAX_SEARCHES, sizes, turns++);
+    }
+
+    private void consider(WaitingRequest entry, SearchBudget budget, Decisions decisions) {
+        PromptGroup group = PromptGroup.of(entry);
+        if (budget.has(group)) {
+            budget.take(group);
+            if (decisions.tryPlace(entry)) {
                 remove(entry.id());
-                continue;
-            }
-            if (searched) {
-                firstUnplaced.putIfAbsent(entry.request().service(), entry);
-            }
-            if (decisions.shouldRefuse(entry) && remove(entry.id())) {
-                decisions.refuse(entry);
+                return;
             }
+            budget.searchFailed(group);
+            firstUnplaced.putIfAbsent(entry.request().service(), entry);
+        }
+        if (budget.hasFailed(group) && decisions.shouldRefuse(entry) && remove(entry.id())) {
+            decisions.refuse(entry);
         }
     }
 }
--- a/relay/src/test/java/org/endivehold/relay/schedule/BacklogTest.java
+++ b/relay/src/test/java/org/endivehold/relay/schedule/BacklogTest.java
@@ -76,6 +76,45 @@
         assertTrue(backlog.contains(inTime.id()));
     }
 
+    /** Eight short prompts that fit nowhere kept a long one from being tried until it was refused. */
+    @Test
+    void endlessShortPromptsThatFitNowhereDoNotHideALongOne() {
+        for (int i = 0; i < 20; i++) {
+            add(SHORT);
+        }
+        WaitingRequest longPrompt = add(LONG);
+        WaitingRequest medium = add(MEDIUM);
+        requests.fits = entry -> entry.equals(longPrompt) || entry.equals(medium);
+        backlog.runTurn(requests);
+        assertEquals(List.of(medium.id(), longPrompt.id()), new ArrayList<>(requests.placed));
+        assertEquals(MAX_SEARCHES, requests.searched.size());
+    }
+
+    /** With more groups than searches, the first groups would otherwise take all searches of every turn. */
+    @Test
+    void everyGroupOfManyServicesIsSearchedAfterAFewTurns() {
+        for (int service = 0; service < 12; service++) {
+            assertTrue(backlog.add(requests.request("service-" + service, SHORT, TrafficClass.DEFAULT)));
+        }
+        requests.fits = entry -> false;
+        for (int turn = 0; turn < 12; turn++) {
+            backlog.runTurn(requests);
+        }
+        assertEquals(12, requests.searched.size());
+    }
+
+    /** A burst of more prompts than a turn searches for would be refused although engines have room. */
+    @Test
+    void aLateRequestIsNotRefusedWhileTheSearchesOfItsGroupFindEngines() {
+        for (int i = 0; i < 12; i++) {
+            requests.late.add(add(SHORT).id());
+        }
+        backlog.runTurn(requests);
+        backlog.runTurn(requests);
+        assertEquals(12, requests.placed.size());
+        assertTrue(requests.refused.isEmpty());
+    }
+
     @Test
     void theRequestsOfOneDaemonAreListed() {
         JobId id = add(SHORT).id();
