Order waiting requests by rank, with a minimum for lower ranks, and by fair shares among customers

Cause: requests that wait were ordered by weight per prefill time alone, so a customer got a share of busy engines in proportion to what it sent, and the rank of a request did not count in the queue. Change: relay/share counts what each customer of a rank takes of the engines (start-time fair queueing over predicted engine time and memory). Every job that the tracker learns of is charged, so a new decider has the counters of its predecessor. TurnOrder orders by rank, start and weight; of the placements of requests that waited, one in eight goes to lower ranks while they wait. A new request queues behind waiting ones of its group. A full backlog refuses the last in order at the next turn. With default classes only, the order and the limit are as before.

--- a/relay/src/main/java/org/endivehold/relay/engine/JobTracker.java
+++ b/relay/src/main/java/org/endivehold/relay/engine/JobTracker.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.endivehold.relay.route.EngineProfile;
 
 /**
@@ -22,6 +23,7 @@
     private final Map<String, EngineLoad> loads = new HashMap<>();
     private final PartLoad splitPrefillLoad = new PartLoad();
     private final Map<JobId, Entry> jobs = new LinkedHashMap<>();
+    private final List<Consumer<EngineJob>> addedListeners = new ArrayList<>();
 
     /** A job with what is needed to add it to the load of an engine that is registered after the job was reported. */
     private static final class Entry {
@@ -39,6 +41,11 @@
         }
     }
 
+    /** Adds a listener that learns of each job when it is added for the first time. */
+    public void onAdded(Consumer<EngineJob> listener) {
+        addedListeners.add(listener);
+    }
+
     /** Adds an engine, or replaces its profile. Jobs that were added earlier for this engine now count in its load. */
     public void registerEngine(String id, EngineProfile profile) {
         EngineLoad known = loads.get(id);
@@ -70,6 +77,7 @@
         Entry entry = new Entry(job, now, slowdown);
         jobs.put(job.id(), entry);
         job.engines().forEach(engine -> addToEngine(entry, engine));
+        addedListeners.forEach(listener -> listener.accept(job));
     }
 
     private void addToEngine(Entry entry, String engine) {
--- a/relay/src/main/java/org/endivehold/relay/schedule/Backlog.java
+++ b/relay/src/main/java/org/endivehold/relay/schedule/Backlog.java
@@ -1,6 +1,7 @@
 package org.endivehold.relay.schedule;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -9,15 +10,20 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.endivehold.relay.engine.JobId;
+import org.endivehold.relay.route.TrafficClass;
+import org.endivehold.relay.share.EngineCost;
+import org.endivehold.relay.share.RankedShares;
 
 /**
  * The requests that wait for engines, and the order in which they are tried.
  *
- * <p>Requests are tried in descending order of weight per prefill time. A turn searches engines for a few of them only.
- * Prompts of similar length form a group, and each group gets searches in every turn: requests that fit nowhere do not
- * hide those of other groups. A request for which no search was made in a turn is refused only if a search of its group
- * found no engines in that turn.
+ * <p>Requests of a service are tried in the {@link TurnOrder}: the most urgent first, with a minimum for lower ranks,
+ * then those of the customer that has taken least of the engines, then by weight per prefill time. A turn searches
+ * engines for a few of them only. Prompts of similar length form a group, and each group gets searches in every turn:
+ * requests that fit nowhere do not hide those of other groups. A request for which no search was made in a turn is
+ * refused only if a search of its group found no engines in that turn.
  *
  * <p>Example: a hundred short prompts wait for a slot, since all engines that have memory for them are full, and a long
  * one waits. Of the 8 searches of a turn the short prompts get 7 and the long one gets 1. It is placed as soon as
@@ -27,11 +33,13 @@
     /** Maximum number of requests for which engines are searched in one turn, to keep the event loop responsive. */
     private static final int MAX_SEARCHES = 8;
 
-    private static final Comparator<WaitingRequest> BY_WEIGHT =
-            Comparator.comparingDouble(WaitingRequest::weightPerPrefillMillis).reversed();
+    /** Part of the capacity by which requests may exceed it until the next turn. */
+    private static final int OVERFLOW_DIVISOR = 4;
 
     private final int capacity;
     private final Map<JobId, WaitingRequest> waiting = new LinkedHashMap<>();
+    private final Map<String, RankedShares> shares = new HashMap<>();
+    private final Map<PromptGroup, Integer> classedByGroup = new HashMap<>();
     private final Map<String, WaitingRequest> firstUnplaced = new HashMap<>();
     private int turns;
 
@@ -56,12 +64,20 @@
         this.capacity = capacity;
     }
 
-    /** Adds a request; returns false if the backlog is full. */
+    /**
+     * Adds a request; returns false if the backlog is full. While it is full, a request of a class other than the
+     * default is still added, and the next turn refuses the last ones in order instead of those that came last.
+     */
     boolean add(WaitingRequest entry) {
-        if (waiting.size() >= capacity) {
+        int limit = entry.isClassed() ? capacity + capacity / OVERFLOW_DIVISOR : capacity;
+        if (waiting.size() >= limit) {
             return false;
         }
         waiting.put(entry.id(), entry);
+        shares(entry).arrived(entry.traffic(), entry.submittedAt());
+        if (entry.isClassed()) {
+            classedByGroup.merge(PromptGroup.of(entry), 1, Integer::sum);
+        }
         return true;
     }
 
@@ -71,10 +87,27 @@
         if (entry == null) {
             return false;
         }
+        shares(entry).left(entry.traffic());
+        if (entry.isClassed()) {
+            classedByGroup.computeIfPresent(PromptGroup.of(entry), (group, count) -> count > 1 ? count - 1 : null);
+        }
         firstUnplaced.remove(entry.request().service(), entry);
         return true;
     }
 
+    /** Counts a request that was sent to the engines of a service in the share of its customer. */
+    void charge(String service, TrafficClass traffic, EngineCost cost, double now) {
+        shares(service).charge(traffic, cost, now);
+    }
+
+    private RankedShares shares(WaitingRequest entry) {
+        return shares(entry.request().service());
+    }
+
+    private RankedShares shares(String service) {
+        return shares.computeIfAbsent(service, name -> new RankedShares());
+    }
+
     /** Returns the ids of the waiting requests that one run of a daemon submitted. */
     List<JobId> submittedBy(String daemon) {
         return waiting.keySet().stream()
@@ -86,10 +119,23 @@
         return waiting.containsKey(id);
     }
 
+    /** Returns a waiting request; null if it is not waiting. */
+    WaitingRequest waiting(JobId id) {
+        return waiting.get(id);
+    }
+
     int size() {
         return waiting.size();
     }
 
+    /**
+     * Returns whether requests of a class other than the default wait in the group of a request, so that it has to wait
+     * for its turn: placed at once, it would pass over them.
+     */
+    boolean mustQueue(WaitingRequest entry) {
+        return entry.isClassed() && classedByGroup.containsKey(PromptGroup.of(entry));
+    }
+
     /** Returns the services that have waiting requests. */
     Set<String> services() {
         Set<String> services = new LinkedHashSet<>();
@@ -108,38 +154,72 @@
     /**
      * Searches engines for the first requests in order and refuses those for which waiting is of no use. Requests may
      * be added and removed meanwhile; those added are considered in the next turn.
+     *
+     * @return whether another turn may place more requests at once: all searches of a group found engines, and requests
+     *     of it with a class other than the default still wait
      */
-    void runTurn(Decisions decisions) {
+    boolean runTurn(Decisions decisions) {
         firstUnplaced.clear();
-        List<WaitingRequest> order = new ArrayList<>(waiting.values());
-        order.sort(BY_WEIGHT);
-        SearchBudget budget = searchBudget(order);
-        for (WaitingRequest entry : order) {
-            if (contains(entry.id())) {
-                consider(entry, budget, decisions);
-            }
+        Map<String, List<WaitingRequest>> byService = new LinkedHashMap<>();
+        Map<PromptGroup, Integer> groupSizes = new LinkedHashMap<>();
+        for (WaitingRequest entry : waiting.values()) {
+            byService
+                    .computeIfAbsent(entry.request().service(), name -> new ArrayList<>())
+                    .add(entry);
+            groupSizes.merge(PromptGroup.of(entry), 1, Integer::sum);
+        }
+        SearchBudget budget = new SearchBudget(MAX_SEARCHES, groupSizes, turns++);
+        byService.forEach((service, entries) -> search(new TurnOrder(entries, shares(service)), budget, decisions));
+        byService.values().forEach(entries -> refuse(entries, budget, decisions));
+        while (waiting.size() > capacity) {
+            refuseLast(decisions);
         }
+        return classedByGroup.keySet().stream().anyMatch(budget::mayHaveMoreRoom);
     }
 
-    private SearchBudget searchBudget(List<WaitingRequest> order) {
-        Map<PromptGroup, Integer> sizes = new LinkedHashMap<>();
-        order.forEach(entry -> sizes.merge(PromptGroup.of(entry), 1, Integer::sum));
-        return new SearchBudget(MAX_SEARCHES, sizes, turns++);
+    /** Refuses as many requests as the backlog has too many, the last in order of the service that has most. */
+    private void refuseLast(Decisions decisions) {
+        Map<String, List<WaitingRequest>> byService = waiting.values().stream()
+                .collect(Collectors.groupingBy(entry -> entry.request().service()));
+        List<WaitingRequest> most = Collections.max(byService.values(), Comparator.comparingInt(List::size));
+        String service = most.get(0).request().service();
+        TurnOrder order = new TurnOrder(most, shares(service));
+        for (int excess = waiting.size() - capacity; excess > 0; excess--) {
+            order.removeLast().filter(entry -> remove(entry.id())).ifPresent(decisions::refuse);
+        }
     }
 
-    private void consider(WaitingRequest entry, SearchBudget budget, Decisions decisions) {
-        PromptGroup group = PromptGroup.of(entry);
-        if (budget.has(group)) {
+    /** Searches engines for the requests of a service, as many as the budget allows. */
+    private void search(TurnOrder order, SearchBudget budget, Decisions decisions) {
+        Optional<WaitingRequest> next = nextSearch(order, budget);
+        while (next.isPresent()) {
+            WaitingRequest entry = next.get();
+            PromptGroup group = PromptGroup.of(entry);
             budget.take(group);
-            if (decisions.tryPlace(entry)) {
+            boolean placed = decisions.tryPlace(entry);
+            budget.searched(group, placed);
+            if (placed) {
                 remove(entry.id());
-                return;
+                shares(entry).placedAfterWaiting(entry.traffic());
+            } else {
+                firstUnplaced.putIfAbsent(entry.request().service(), entry);
             }
-            budget.searchFailed(group);
-            firstUnplaced.putIfAbsent(entry.request().service(), entry);
+            next = nextSearch(order, budget);
         }
-        if (budget.hasFailed(group) && decisions.shouldRefuse(entry) && remove(entry.id())) {
-            decisions.refuse(entry);
+    }
+
+    private Optional<WaitingRequest> nextSearch(TurnOrder order, SearchBudget budget) {
+        return order.next(entry -> contains(entry.id()) && budget.has(PromptGroup.of(entry)));
+    }
+
+    private void refuse(List<WaitingRequest> entries, SearchBudget budget, Decisions decisions) {
+        for (WaitingRequest entry : entries) {
+            if (budget.hasFailed(PromptGroup.of(entry))
+                    && contains(entry.id())
+                    && decisions.shouldRefuse(entry)
+                    && remove(entry.id())) {
+                decisions.refuse(entry);
+            }
         }
     }
 }
--- a/relay/src/main/java/org/endivehold/relay/schedule/LocalScheduler.java
+++ b/relay/src/main/java/org/endivehold/relay/schedule/LocalScheduler.java
@@ -16,11 +16,16 @@
 import org.endivehold.relay.limit.UpstreamHealth;
 import org.endivehold.relay.route.EngineProfile;
 import org.endivehold.relay.route.RelayService;
+import org.endivehold.relay.route.TrafficClass;
+import org.endivehold.relay.share.EngineCost;
 import org.endivehold.relay.state.FleetView;
 
 /**
  * Places requests at this daemon, based only on the jobs in its own tracker.
  *
+ * <p>The shares of customers are counted from every job that the tracker learns of, whichever daemon placed it. So a
+ * daemon that becomes the decider has the same counters as its predecessor, as far as it has been told of its jobs.
+ *
  * <p>A request is sent if the {@link StartRule} admits it, otherwise it waits in the {@link Backlog}, which decides in
  * which order the waiting requests are tried again.
  */
@@ -63,6 +68,7 @@
         this.jobs = jobs;
         this.finder = new CandidateFinder(fleet, health, jobs, division, ticker);
         jobs.onCapacityFreed(this::capacityFreed);
+        jobs.tracker().onAdded(this::charge);
     }
 
     /** Keeps room free for waiting requests as decided by these claims. */
@@ -78,7 +84,8 @@
             return;
         }
         WaitingRequest entry = new WaitingRequest(request, profile.get(), listener, now());
-        if (tryPlace(entry)) {
+        boolean mayTry = !request.mayWait() || !backlog.mustQueue(entry);
+        if (mayTry && tryPlace(entry)) {
             return;
         }
         boolean refuse = StartRule.shouldRefuse(entry.prefillMillis(), request.need());
@@ -137,6 +144,18 @@
         return true;
     }
 
+    /** Counts a job in the share of its customer, whichever daemon placed it. */
+    private void charge(EngineJob job) {
+        if (job.traffic().equals(TrafficClass.DEFAULT)) {
+            return;
+        }
+        fleet.upstream(job.decodeEngine())
+                .map(upstream -> upstream.entry().service())
+                .ifPresent(service -> profile(service)
+                        .ifPresent(
+                                profile -> backlog.charge(service, job.traffic(), EngineCost.of(job, profile), now())));
+    }
+
     /** Tries the waiting requests soon, since a job has finished its prefill or ended. */
     private void capacityFreed() {
         if (backlog.size() > 0) {
@@ -160,10 +179,10 @@
     private void runTurn() {
         scheduled = false;
         Set<String> services = backlog.services();
-        backlog.runTurn(decisions);
+        boolean again = backlog.runTurn(decisions);
         services.forEach(service -> claims.turnEnded(service, backlog.firstUnplaced(service), now()));
         if (backlog.size() > 0) {
-            scheduleTurn(RETRY_MILLIS);
+            scheduleTurn(again ? 1 : RETRY_MILLIS);
         }
     }
 
--- a/relay/src/main/java/org/endivehold/relay/schedule/SearchBudget.java
+++ b/relay/src/main/java/org/endivehold/relay/schedule/SearchBudget.java
@@ -17,6 +17,7 @@
 final class SearchBudget {
     private final Map<PromptGroup, Integer> left = new HashMap<>();
     private final Set<PromptGroup> failed = new HashSet<>();
+    private final Set<PromptGroup> succeeded = new HashSet<>();
 
     /**
      * Divides the searches.
@@ -47,9 +48,14 @@
         left.merge(group, -1, Integer::sum);
     }
 
-    /** Notes that a search of a group found no engines. */
-    void searchFailed(PromptGroup group) {
-        failed.add(group);
+    /** Notes whether a search of a group found engines. */
+    void searched(PromptGroup group, boolean found) {
+        (found ? succeeded : failed).add(group);
+    }
+
+    /** Returns whether engines were searched for a group and all searches found some, so that there may be more. */
+    boolean mayHaveMoreRoom(PromptGroup group) {
+        return succeeded.contains(group) && !failed.contains(group);
     }
 
     /** Returns whether a search of a group found no engines. */
--- a/relay/src/main/java/org/endivehold/relay/schedule/WaitingRequest.java
+++ b/relay/src/main/java/org/endivehold/relay/schedule/WaitingRequest.java
@@ -3,6 +3,7 @@
 import org.endivehold.relay.engine.JobId;
 import org.endivehold.relay.engine.PromptNeed;
 import org.endivehold.relay.route.EngineProfile;
+import org.endivehold.relay.route.TrafficClass;
 
 /**
  * A request that waits for engines.
@@ -24,6 +25,20 @@
         return request.need().after(now - submittedAt);
     }
 
+    TrafficClass traffic() {
+        return request.need().traffic();
+    }
+
+    /** Returns whether the request has a class other than the default. */
+    boolean isClassed() {
+        return !traffic().equals(TrafficClass.DEFAULT);
+    }
+
+    /** Returns when the caller began to wait for the next event, as far as that is known, in milliseconds. */
+    double arrivedAt() {
+        return submittedAt - request.need().elapsedMillis();
+    }
+
     /** Returns the time in which one engine alone prefills the prompt, in milliseconds. */
     double prefillMillis() {
         return profile.prefillMillis(request.need().promptTokens(), 1);
--- /dev/null
+++ b/relay/src/main/java/org/endivehold/relay/share/package-info.java
@@ -0,0 +1,2 @@
+/** Fair shares of engines among customers whose requests wait. */
+package org.endivehold.relay.share;
--- a/relay/src/test/java/org/endivehold/relay/schedule/WaitingRequests.java
+++ b/relay/src/test/java/org/endivehold/relay/schedule/WaitingRequests.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.endivehold.relay.engine.EngineJob;
 import org.endivehold.relay.engine.JobId;
@@ -21,6 +22,7 @@
     final Set<JobId> refused = new LinkedHashSet<>();
     final Set<JobId> late = new HashSet<>();
     Predicate<WaitingRequest> fits = entry -> true;
+    Consumer<WaitingRequest> onPlaced = entry -> {};
     private long nextNumber;
 
     WaitingRequest request(long promptTokens, TrafficClass traffic) {
@@ -40,6 +42,7 @@
         boolean fit = fits.test(entry);
         if (fit) {
             placed.add(entry.id());
+            onPlaced.accept(entry);
         }
         return fit;
     }
