--- a/relay/src/main/java/org/endivehold/relay/peer/FrameExtensions.java
+++ b/relay/src/main/java/org/endivehold/relay/peer/FrameExtensions.java
@@ -1,9 +1,12 @@
 package org.endivehold.relay.peer;
 
+import io.vertx.core.buffer.Buffer;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.endivehold.relay.route.TrafficClass;
+import org.endivehold.relay.schedule.WaitReason;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePacker;
@@ -19,25 +22,34 @@
  */
 final class FrameExtensions {
     private static final int TRAFFIC_CLASS = 1;
+    private static final int WAIT_REASON = 2;
 
     private FrameExtensions() {}
 
+    /** Fields of one message. */
+    private record Extension(int kind, int index, Buffer fields) {}
+
     /** Packs what the messages hold beyond the fields of their first version. */
     static void pack(MessagePacker packer, List<PeerMessage> messages) throws IOException {
-        List<Integer> extended = new ArrayList<>();
+        List<Extension> extensions = new ArrayList<>();
         for (int i = 0; i < messages.size(); i++) {
-            if (!traffic(messages.get(i)).equals(TrafficClass.DEFAULT)) {
-                extended.add(i);
+            TrafficClass traffic = traffic(messages.get(i));
+            if (!traffic.equals(TrafficClass.DEFAULT)) {
+                extensions.add(new Extension(TRAFFIC_CLASS, i, Buffer.buffer(encode(traffic))));
+            }
+            Optional<WaitReason> reason = reason(messages.get(i));
+            if (reason.isPresent()) {
+                extensions.add(new Extension(WAIT_REASON, i, Buffer.buffer(encode(reason.get()))));
             }
         }
-        if (extended.isEmpty()) {
+        if (extensions.isEmpty()) {
             return;
         }
-        packer.packArrayHeader(extended.size());
-        for (int index : extended) {
-            packer.packInt(TRAFFIC_CLASS).packInt(index);
-            byte[] fields = encode(traffic(messages.get(index)));
-            packer.packBinaryHeader(fields.length).writePayload(fields);
+        packer.packArrayHeader(extensions.size());
+        for (Extension extension : extensions) {
+            packer.packInt(extension.kind()).packInt(extension.index());
+            packer.packBinaryHeader(extension.fields().length())
+                    .writePayload(extension.fields().getBytes());
         }
     }
 
@@ -51,8 +63,13 @@
             int kind = unpacker.unpackInt();
             int index = unpacker.unpackInt();
             byte[] fields = unpacker.readPayload(unpacker.unpackBinaryHeader());
-            if (kind == TRAFFIC_CLASS && index >= 0 && index < messages.size()) {
+            if (index < 0 || index >= messages.size()) {
+                continue;
+            }
+            if (kind == TRAFFIC_CLASS) {
                 messages.set(index, extend(messages.get(index), decode(fields)));
+            } else if (kind == WAIT_REASON) {
+                messages.set(index, extend(messages.get(index), decodeReason(fields)));
             }
         }
     }
@@ -74,11 +91,43 @@
         } else if (message instanceof PeerMessage.JobPlaced placed) {
             return new PeerMessage.JobPlaced(placed.job().withTraffic(traffic), placed.decoding());
         } else if (message instanceof PeerMessage.PlacementChosen chosen) {
-            return new PeerMessage.PlacementChosen(chosen.job().withTraffic(traffic), chosen.placement());
+            return new PeerMessage.PlacementChosen(
+                    chosen.job().withTraffic(traffic), chosen.placement(), chosen.reason());
+        }
+        return message;
+    }
+
+    private static Optional<WaitReason> reason(PeerMessage message) {
+        if (message instanceof PeerMessage.PlacementChosen chosen) {
+            return chosen.reason();
+        } else if (message instanceof PeerMessage.PlacementRefused refused) {
+            return refused.reason();
+        }
+        return Optional.empty();
+    }
+
+    private static PeerMessage extend(PeerMessage message, Optional<WaitReason> reason) {
+        if (message instanceof PeerMessage.PlacementChosen chosen) {
+            return new PeerMessage.PlacementChosen(chosen.job(), chosen.placement(), reason);
+        } else if (message instanceof PeerMessage.PlacementRefused refused) {
+            return new PeerMessage.PlacementRefused(refused.id(), refused.retryAfterMillis(), reason);
         }
         return message;
     }
 
+    private static byte[] encode(WaitReason reason) throws IOException {
+        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+            packer.packString(reason.word());
+            return packer.toByteArray();
+        }
+    }
+
+    private static Optional<WaitReason> decodeReason(byte[] fields) throws IOException {
+        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(fields)) {
+            return WaitReason.ofWord(unpacker.unpackString());
+        }
+    }
+
     private static byte[] encode(TrafficClass traffic) throws IOException {
         try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
             packer.packString(traffic.customer());
--- a/relay/src/main/java/org/endivehold/relay/peer/PeerMessage.java
+++ b/relay/src/main/java/org/endivehold/relay/peer/PeerMessage.java
@@ -13,6 +13,7 @@
 import org.endivehold.relay.limit.RateLimitAnnouncement;
 import org.endivehold.relay.route.Customer;
 import org.endivehold.relay.schedule.EngineRequest;
+import org.endivehold.relay.schedule.WaitReason;
 import org.endivehold.relay.state.SharedStore;
 import org.endivehold.relay.state.StorePosition;
 
@@ -52,11 +53,21 @@
     /** A placement request is queued until engines become available. */
     record PlacementQueued(JobId id) implements PeerMessage {}
 
-    /** A placement request was answered with engines. */
-    record PlacementChosen(EngineJob job, Placement placement) implements PeerMessage {}
+    /** A placement request was answered with engines; {@code reason}: why it had waited, if it had. */
+    record PlacementChosen(EngineJob job, Placement placement, Optional<WaitReason> reason) implements PeerMessage {
+        /** Creates an answer to a request that did not wait. */
+        public PlacementChosen(EngineJob job, Placement placement) {
+            this(job, placement, Optional.empty());
+        }
+    }
 
     /** A placement request was refused; the caller may retry after {@code retryAfterMillis}. */
-    record PlacementRefused(JobId id, double retryAfterMillis) implements PeerMessage {}
+    record PlacementRefused(JobId id, double retryAfterMillis, Optional<WaitReason> reason) implements PeerMessage {
+        /** Creates a refusal without a reason. */
+        public PlacementRefused(JobId id, double retryAfterMillis) {
+            this(id, retryAfterMillis, Optional.empty());
+        }
+    }
 
     /**
      * An upstream failed and the sender ejects it.
--- a/relay/src/main/java/org/endivehold/relay/schedule/Backlog.java
+++ b/relay/src/main/java/org/endivehold/relay/schedule/Backlog.java
@@ -4,6 +4,7 @@
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -52,7 +53,7 @@
         boolean shouldRefuse(WaitingRequest entry);
 
         /** Refuses a request, which has been removed. */
-        void refuse(WaitingRequest entry);
+        void refuse(WaitingRequest entry, WaitReason reason);
     }
 
     /**
@@ -124,6 +125,28 @@
         return waiting.get(id);
     }
 
+    /**
+     * Returns how much engine time waiting requests are expected to take before a further request of a class is placed,
+     * in milliseconds of one engine: what its own customer waits for, as often as customers share, or all if that is
+     * less. Requests of lower ranks do not count.
+     */
+    double workAheadMillis(WaitingRequest entry) {
+        int rank = RankedShares.rank(entry.traffic());
+        Set<String> customers = new HashSet<>();
+        double own = 0;
+        double all = 0;
+        for (WaitingRequest other : waiting.values()) {
+            if (other.request().service().equals(entry.request().service())
+                    && RankedShares.rank(other.traffic()) >= rank) {
+                double cost = other.cost().engineMillis();
+                customers.add(other.traffic().customer());
+                all += cost;
+                own += other.traffic().customer().equals(entry.traffic().customer()) ? cost : 0;
+            }
+        }
+        return Math.min(all, (own + entry.cost().engineMillis()) * customers.size());
+    }
+
     int size() {
         return waiting.size();
     }
@@ -185,7 +208,9 @@
         String service = most.get(0).request().service();
         TurnOrder order = new TurnOrder(most, shares(service));
         for (int excess = waiting.size() - capacity; excess > 0; excess--) {
-            order.removeLast().filter(entry -> remove(entry.id())).ifPresent(decisions::refuse);
+            order.removeLast()
+                    .filter(entry -> remove(entry.id()))
+                    .ifPresent(entry -> decisions.refuse(entry, WaitReason.QUEUE_FULL));
         }
     }
 
@@ -218,7 +243,7 @@
                     && contains(entry.id())
                     && decisions.shouldRefuse(entry)
                     && remove(entry.id())) {
-                decisions.refuse(entry);
+                decisions.refuse(entry, WaitReason.LATE);
             }
         }
     }
--- a/relay/src/main/java/org/endivehold/relay/schedule/EngineScheduler.java
+++ b/relay/src/main/java/org/endivehold/relay/schedule/EngineScheduler.java
@@ -6,8 +6,14 @@
 
 /** Decides when requests run and on which engines. */
 public interface EngineScheduler {
-    /** Receives the decision for one request; one of its methods is called, once. */
+    /** Receives the decision for one request; {@link #placed} or {@link #refused} is called, once. */
     interface Listener {
+        /**
+         * Tells why the request waited or is refused; called before the decision. It is not called for a request that
+         * did not wait, or if another daemon decided that does not report the reason.
+         */
+        default void explained(WaitReason reason) {}
+
         /**
          * Engines were chosen. The scheduler counts the request as load on them until its end is reported with
          * {@link JobReplicator#end}.
--- a/relay/src/main/java/org/endivehold/relay/schedule/SharedScheduler.java
+++ b/relay/src/main/java/org/endivehold/relay/schedule/SharedScheduler.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.endivehold.misc.LogEvent;
 import org.endivehold.misc.Ticker;
 import org.endivehold.relay.engine.EngineJob;
@@ -174,23 +175,40 @@
             return;
         }
         if (!local.isWaiting(id)) {
-            local.submit(request, new Listener() {
-                @Override
-                public void placed(EngineJob job, Placement placement) {
-                    peers.send(daemon, new PeerMessage.PlacementChosen(job, placement));
-                }
-
-                @Override
-                public void refused(double retryAfterMillis) {
-                    peers.send(daemon, new PeerMessage.PlacementRefused(id, retryAfterMillis));
-                }
-            });
+            local.submit(request, new RemoteListener(daemon, id));
         }
         if (local.isWaiting(id)) {
             peers.send(daemon, new PeerMessage.PlacementQueued(id));
         }
     }
 
+    /** Sends the decision on a request to the daemon that submitted it. */
+    private final class RemoteListener implements Listener {
+        private final String daemon;
+        private final JobId id;
+        private Optional<WaitReason> reason = Optional.empty();
+
+        RemoteListener(String daemon, JobId id) {
+            this.daemon = daemon;
+            this.id = id;
+        }
+
+        @Override
+        public void explained(WaitReason why) {
+            reason = Optional.of(why);
+        }
+
+        @Override
+        public void placed(EngineJob job, Placement placement) {
+            peers.send(daemon, new PeerMessage.PlacementChosen(job, placement, reason));
+        }
+
+        @Override
+        public void refused(double retryAfterMillis) {
+            peers.send(daemon, new PeerMessage.PlacementRefused(id, retryAfterMillis, reason));
+        }
+    }
+
     /** The request is waiting at the decider: replaces the answer timeout by the interval for submitting it again. */
     private void onPlacementQueued(JobId id) {
         DelegatedRequest entry = delegated.get(id);
@@ -206,6 +224,7 @@
     private void onPlacementRefused(PeerMessage.PlacementRefused refused) {
         DelegatedRequest entry = removeDelegated(refused.id());
         if (entry != null) {
+            refused.reason().ifPresent(entry.listener::explained);
             entry.listener.refused(refused.retryAfterMillis());
         }
     }
@@ -219,6 +238,7 @@
         if (entry == null) {
             peers.send(daemon, new PeerMessage.JobEnded(chosen.job().id()));
         } else {
+            chosen.reason().ifPresent(entry.listener::explained);
             entry.listener.placed(chosen.job(), chosen.placement());
         }
     }
--- a/relay/src/main/java/org/endivehold/relay/schedule/TurnOrder.java
+++ b/relay/src/main/java/org/endivehold/relay/schedule/TurnOrder.java
@@ -10,7 +10,6 @@
 import java.util.Optional;
 import java.util.function.Predicate;
 import org.endivehold.relay.route.TrafficClass;
-import org.endivehold.relay.share.EngineCost;
 import org.endivehold.relay.share.RankedShares;
 
 /**
@@ -45,8 +44,7 @@
         for (WaitingRequest entry : sorted) {
             double start = next.computeIfAbsent(entry.traffic(), shares::counter);
             starts.add(new Start(entry, start));
-            EngineCost cost = EngineCost.of(entry.request().need(), entry.profile());
-            next.put(entry.traffic(), start + cost.engineMillis());
+            next.put(entry.traffic(), start + entry.cost().engineMillis());
         }
         starts.sort(Comparator.comparingDouble(Start::at));
         for (int rank = 0; rank < RankedShares.RANKS; rank++) {
--- a/relay/src/main/java/org/endivehold/relay/schedule/WaitingRequest.java
+++ b/relay/src/main/java/org/endivehold/relay/schedule/WaitingRequest.java
@@ -4,6 +4,7 @@
 import org.endivehold.relay.engine.PromptNeed;
 import org.endivehold.relay.route.EngineProfile;
 import org.endivehold.relay.route.TrafficClass;
+import org.endivehold.relay.share.EngineCost;
 
 /**
  * A request that waits for engines.
@@ -34,6 +35,11 @@
         return !traffic().equals(TrafficClass.DEFAULT);
     }
 
+    /** Returns what the request is predicted to take from the engines. */
+    EngineCost cost() {
+        return EngineCost.of(request.need(), profile);
+    }
+
     /** Returns when the caller began to wait for the next event, as far as that is known, in milliseconds. */
     double arrivedAt() {
         return submittedAt - request.need().elapsedMillis();
--- a/relay/src/main/java/org/endivehold/relay/share/FairShares.java
+++ b/relay/src/main/java/org/endivehold/relay/share/FairShares.java
@@ -21,22 +21,44 @@
  * cost 400, then C one of cost 50, then C another one, since it has 950, then B. A goes on when the others have passed
  * 1,300.
  *
+ * <p>Customers that start within a second of each other start at the same counter, whichever is seen first. A daemon
+ * that starts and learns of running jobs one by one therefore counts for each customer what it has running.
+ *
  * <p>A customer is taken to be running until the predicted end of its requests, whether or not they end before. An
  * error of this prediction moves the start of a new customer by at most what is placed in that time.
  */
 public final class FairShares {
+    /**
+     * Time after a customer's start in which its start counts instead of its counter for those that start as well, in
+     * milliseconds. A daemon that starts learns of the jobs of all customers one after the other, within about a
+     * second.
+     */
+    private static final double SAME_START_MILLIS = 1_000;
+
     private final Map<String, Account> accounts = new HashMap<>();
     /** Counter of a customer that is not known. */
     private double floor;
 
     private static final class Account {
         private double counter;
+        private double startCounter;
+        private double startedAt;
         private int waiting;
         private double runningUntil;
 
         boolean active(double now) {
             return waiting > 0 || runningUntil > now;
         }
+
+        void start(double floor, double now) {
+            counter = Math.max(counter, floor);
+            startCounter = counter;
+            startedAt = now;
+        }
+
+        double counterForOthers(double now) {
+            return now < startedAt + SAME_START_MILLIS ? startCounter : counter;
+        }
     }
 
     /** Notes that a request of a customer begins to wait. */
@@ -78,7 +100,7 @@
         }
         raiseFloor(now);
         Account account = accounts.computeIfAbsent(customer, name -> new Account());
-        account.counter = Math.max(account.counter, floor);
+        account.start(floor, now);
         return account;
     }
 
@@ -88,7 +110,7 @@
         double largest = floor;
         for (Account account : accounts.values()) {
             largest = Math.max(largest, account.counter);
-            smallest = account.active(now) ? Math.min(smallest, account.counter) : smallest;
+            smallest = account.active(now) ? Math.min(smallest, account.counterForOthers(now)) : smallest;
         }
         floor = Math.max(floor, Double.isInfinite(smallest) ? largest : smallest);
         accounts.values().removeIf(account -> !account.active(now) && account.counter <= floor);
