Tell why a request waited, in its steps and in metrics of waiting and shares

Cause: neither the log nor the metrics said how long a request had waited for engines and why, or what a customer got of what it asked for. Change: a step waited:MS:REASON in request-ended for each request that waited or was refused; metrics of waiting time by route and customer, refusals by reason, and engine time requested and received by customer.

--- a/cli/src/main/java/org/endivehold/cli/RequestExplanation.java
+++ b/cli/src/main/java/org/endivehold/cli/RequestExplanation.java
@@ -58,6 +58,7 @@
                     "crashing",
                     "upstreams end when they serve requests with this part or repeats of this request: refused"),
             Map.entry("trial", "this part, or the request itself, is barred, and it was let through as a trial"),
+            Map.entry("waited", "waited for engines, for this many milliseconds and this reason"),
             Map.entry("no-room", "no engine had room for as long as it could wait"),
             Map.entry("hopeless", "all engines together could not take it"),
             Map.entry("no-budget", "the share of the retry budget was spent"),
--- a/relay/src/main/java/org/endivehold/relay/serve/Exchange.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/Exchange.java
@@ -243,7 +243,8 @@
         onEnd.run();
     }
 
-    private String customerName() {
+    /** Returns the name of the customer; a dash if none is known. */
+    String customerName() {
         return customer.map(Customer::name).orElse("-");
     }
 }
--- a/relay/src/main/java/org/endivehold/relay/serve/RelayMetrics.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/RelayMetrics.java
@@ -61,6 +61,26 @@
         registry.counter("endivehold.forwarded", "result", result).increment();
     }
 
+    /** Records the time for which a request waited for engines. */
+    void waited(String route, String customer, double millis) {
+        record("endivehold.waiting", route, customer, millis);
+    }
+
+    /** Counts a request that got no engines, by the reason. */
+    void notPlaced(String reason) {
+        registry.counter("endivehold.refusals", "reason", reason).increment();
+    }
+
+    /** Adds the engine time that a customer's request is predicted to need, when it is first submitted. */
+    void shareRequested(String customer, double engineMillis) {
+        registry.counter("endivehold.share.requested", "customer", customer).increment(engineMillis);
+    }
+
+    /** Adds the engine time that a customer's request is predicted to need, when it is sent to engines. */
+    void shareReceived(String customer, double engineMillis) {
+        registry.counter("endivehold.share.received", "customer", customer).increment(engineMillis);
+    }
+
     private void record(String name, String route, String customer, double millis) {
         Timer.builder(name)
                 .tag("route", route)
--- a/relay/src/main/java/org/endivehold/relay/serve/StreamRequestHandler.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/StreamRequestHandler.java
@@ -16,6 +16,8 @@
 import org.endivehold.relay.route.TrafficClass;
 import org.endivehold.relay.schedule.EngineRequest;
 import org.endivehold.relay.schedule.EngineScheduler;
+import org.endivehold.relay.schedule.WaitReason;
+import org.endivehold.relay.share.EngineCost;
 import org.endivehold.relay.state.Upstream;
 
 /**
@@ -77,6 +79,9 @@
     public void start() {
         if (!counted) {
             context.retryShare().recordRequest(service.name(), context.now());
+            if (!traffic.equals(TrafficClass.DEFAULT)) {
+                context.metrics().shareRequested(traffic.customer(), engineMillis());
+            }
         }
         schedule(ErrorType.NO_UPSTREAM);
     }
@@ -95,6 +100,13 @@
         }
     }
 
+    /** Returns the engine time that the request is predicted to need, in milliseconds. */
+    private double engineMillis() {
+        return service.engine()
+                .map(profile -> EngineCost.of(need(), profile).engineMillis())
+                .orElse(0.0);
+    }
+
     private PromptNeed need() {
         RelayRoute route = exchange.route();
         double gapTarget = route.gapTargetMillis() > 0 ? route.gapTargetMillis() : route.targetMillis();
@@ -123,10 +135,17 @@
             giveUp(refusal, pauseMillis + context.random().nextInt((int) MIN_RETRY_AFTER_MILLIS));
             return;
         }
+        WaitRecord wait = new WaitRecord(context, exchange);
         requestPlacement(excludedEngines, true, new EngineScheduler.Listener() {
+            @Override
+            public void explained(WaitReason reason) {
+                wait.explained(reason);
+            }
+
             @Override
             public void placed(EngineJob job, Placement placement) {
                 pendingPlacement = Optional.empty();
+                wait.ended();
                 if (refuseBarred()) {
                     context.engineWork().end(job);
                     return;
@@ -145,6 +164,8 @@
             @Override
             public void refused(double retryAfterMillis) {
                 pendingPlacement = Optional.empty();
+                wait.ended();
+                context.metrics().notPlaced(wait.word());
                 exchange.addStep("no-room");
                 giveUp(refusal, retryAfterMillis);
             }
@@ -182,6 +203,9 @@
 
     private void send(EngineJob job, Placement placement) {
         sends++;
+        if (!traffic.equals(TrafficClass.DEFAULT)) {
+            context.metrics().shareReceived(traffic.customer(), engineMillis());
+        }
         sequence.beginAttempt(exchange.responseBegun());
         attempt = new StreamAttempt(
                 context,
--- a/relay/src/test/java/org/endivehold/relay/serve/RelayFixture.java
+++ b/relay/src/test/java/org/endivehold/relay/serve/RelayFixture.java
@@ -59,6 +59,7 @@
     final List<String> memoryCommands = new ArrayList<>();
     final List<PeerMessage> peerMessages = new CopyOnWriteArrayList<>();
     private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+    final SimpleMeterRegistry registry = new SimpleMeterRegistry();
     private final CallerServer server;
     private final int port;
     private final RoutingTable table;
@@ -146,7 +147,7 @@
                 new RetryShare(1, 100, 10_000),
                 onlyDaemon,
                 bodies,
-                new RelayMetrics(new SimpleMeterRegistry(), bodies)));
+                new RelayMetrics(registry, bodies)));
         port = freePort();
         await(server.listen(SocketAddress.inetSocketAddress(port, "127.0.0.1")));
     }
