Let the simulated daemons use the production queue

Cause: the simulation had a queue of its own, which searched engines for all waiting requests in each turn, so it did not show what the order and the limit of searches cost. Change: SimulatedDaemon uses Backlog, whose turn is public for it.

--- a/relay/src/main/java/org/endivehold/relay/schedule/Backlog.java
+++ b/relay/src/main/java/org/endivehold/relay/schedule/Backlog.java
@@ -45,7 +45,7 @@
     private int turns;
 
     /** Decides on the requests that a turn considers. */
-    interface Decisions {
+    public interface Decisions {
         /** Searches engines for a request and sends it there; returns whether it was placed. */
         boolean tryPlace(WaitingRequest entry);
 
@@ -61,7 +61,7 @@
      *
      * @param capacity maximum number of waiting requests
      */
-    Backlog(int capacity) {
+    public Backlog(int capacity) {
         this.capacity = capacity;
     }
 
@@ -69,7 +69,7 @@
      * Adds a request; returns false if the backlog is full. While it is full, a request of a class other than the
      * default is still added, and the next turn refuses the last ones in order instead of those that came last.
      */
-    boolean add(WaitingRequest entry) {
+    public boolean add(WaitingRequest entry) {
         int limit = entry.isClassed() ? capacity + capacity / OVERFLOW_DIVISOR : capacity;
         if (waiting.size() >= limit) {
             return false;
@@ -83,7 +83,7 @@
     }
 
     /** Removes a request; returns whether it was waiting. */
-    boolean remove(JobId id) {
+    public boolean remove(JobId id) {
         WaitingRequest entry = waiting.remove(id);
         if (entry == null) {
             return false;
@@ -147,7 +147,8 @@
         return Math.min(all, (own + entry.cost().engineMillis()) * customers.size());
     }
 
-    int size() {
+    /** Returns the number of waiting requests. */
+    public int size() {
         return waiting.size();
     }
 
@@ -155,7 +156,7 @@
      * Returns whether requests of a class other than the default wait in the group of a request, so that it has to wait
      * for its turn: placed at once, it would pass over them.
      */
-    boolean mustQueue(WaitingRequest entry) {
+    public boolean mustQueue(WaitingRequest entry) {
         return entry.isClassed() && classedByGroup.containsKey(PromptGroup.of(entry));
     }
 
@@ -181,7 +182,7 @@
      * @return whether another turn may place more requests at once: all searches of a group found engines, and requests
      *     of it with a class other than the default still wait
      */
-    boolean runTurn(Decisions decisions) {
+    public boolean runTurn(Decisions decisions) {
         firstUnplaced.clear();
         Map<String, List<WaitingRequest>> byService = new LinkedHashMap<>();
         Map<PromptGroup, Integer> groupSizes = new LinkedHashMap<>();
--- a/relay/src/test/java/org/endivehold/relay/simulation/SimulatedDaemon.java
+++ b/relay/src/test/java/org/endivehold/relay/simulation/SimulatedDaemon.java
@@ -1,10 +1,11 @@
 package org.endivehold.relay.simulation;
 
-import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.endivehold.misc.RendezvousHash;
 import org.endivehold.relay.engine.EngineCandidate;
@@ -16,7 +17,12 @@
 import org.endivehold.relay.engine.PromptNeed;
 import org.endivehold.relay.engine.StartRule;
 import org.endivehold.relay.limit.DaemonCount;
+import org.endivehold.relay.schedule.Backlog;
 import org.endivehold.relay.schedule.EngineDivision;
+import org.endivehold.relay.schedule.EngineRequest;
+import org.endivehold.relay.schedule.EngineScheduler;
+import org.endivehold.relay.schedule.WaitReason;
+import org.endivehold.relay.schedule.WaitingRequest;
 
 /** A daemon that places requests with the production classes and learns of other daemons' jobs after a delay. */
 final class SimulatedDaemon {
@@ -26,12 +32,16 @@
     private static final double MEAN_RETRY_SPREAD_MILLIS = 600;
 
     private static final int MAX_FULL_MESH_SIZE = 9;
+    private static final int MAX_WAITING = 2_000;
+    private static final String SERVICE = "engines";
 
     private final String name;
     private final Simulation simulation;
     private final JobTracker tracker = new JobTracker();
     private final EngineDivision division = new EngineDivision(new KnownSimulatedDaemons());
-    private final List<SimulatedRequest> waiting = new ArrayList<>();
+    private final Backlog backlog = new Backlog(MAX_WAITING);
+    private final Map<JobId, SimulatedRequest> waiting = new HashMap<>();
+    private final Backlog.Decisions decisions = new TurnDecisions();
     private boolean scheduled;
     private boolean isolated;
     private long nextNumber;
@@ -48,8 +58,24 @@
     }
 
     void submit(SimulatedRequest request) {
-        waiting.add(request);
-        runTurn();
+        JobId id = new JobId(name, nextNumber++);
+        EngineRequest submitted = new EngineRequest(id, SERVICE, request.need(), Set.of(), Set.of(), true);
+        WaitingRequest entry = new WaitingRequest(
+                submitted,
+                Simulation.PROFILE,
+                new NoListener(),
+                simulation.time().now());
+        waiting.put(id, request);
+        if (!backlog.mustQueue(entry) && decisions.tryPlace(entry)) {
+            return;
+        }
+        if (decisions.shouldRefuse(entry)) {
+            decisions.refuse(entry, WaitReason.LATE);
+        } else if (backlog.add(entry)) {
+            scheduleTurn(RETRY_MILLIS);
+        } else {
+            decisions.refuse(entry, WaitReason.QUEUE_FULL);
+        }
     }
 
     /** A request produced its first event. */
@@ -62,7 +88,7 @@
 
     /** A request ended. */
     void ended(SimulatedRequest request) {
-        waiting.remove(request);
+        withdraw(request);
         if (request.job() == null) {
             return;
         }
@@ -75,6 +101,17 @@
         scheduleTurn();
     }
 
+    private void withdraw(SimulatedRequest request) {
+        List<JobId> ids = waiting.entrySet().stream()
+                .filter(entry -> entry.getValue().equals(request))
+                .map(Map.Entry::getKey)
+                .toList();
+        for (JobId id : ids) {
+            waiting.remove(id);
+            backlog.remove(id);
+        }
+    }
+
     private void broadcast(Consumer<SimulatedDaemon> message) {
         for (SimulatedDaemon other : simulation.daemons()) {
             if (other != this && !isolated && !other.isolated) {
@@ -84,48 +121,58 @@
     }
 
     private void scheduleTurn() {
-        if (!scheduled && !waiting.isEmpty()) {
+        scheduleTurn(1);
+    }
+
+    private void scheduleTurn(double millis) {
+        if (!scheduled && backlog.size() > 0) {
             scheduled = true;
-            simulation.time().after(1, this::runScheduledTurn);
+            simulation.time().after(millis, this::runTurn);
         }
     }
 
-    private void runScheduledTurn() {
+    private void runTurn() {
         scheduled = false;
-        runTurn();
+        boolean again = backlog.runTurn(decisions);
+        scheduleTurn(again ? 1 : RETRY_MILLIS);
     }
 
-    private void runTurn() {
-        waiting.removeIf(SimulatedRequest::ended);
-        List<SimulatedRequest> order = new ArrayList<>(waiting);
-        order.sort(Comparator.comparingDouble(SimulatedDaemon::weightPerPrefillMillis)
-                .reversed());
-        for (SimulatedRequest request : order) {
+    /** Decides as the production scheduler does. */
+    private final class TurnDecisions implements Backlog.Decisions {
+        @Override
+        public boolean tryPlace(WaitingRequest entry) {
+            SimulatedRequest request = waiting.get(entry.id());
             PromptNeed need = request.need();
             Optional<Placement> found = EnginePlacement.place(
                     tracker, candidates(need.weight()), need, simulation.time().now());
-            if (found.isPresent() && simulation.admits(found.get(), need)) {
-                waiting.remove(request);
-                place(request, found.get());
-            } else if (simulation.shouldRefuse(prefillMillis(need), need)) {
-                waiting.remove(request);
-                double pending = tracker.meanPendingPrefillMillis();
-                request.refused(StartRule.retryAfterMillis(pending, need) + MEAN_RETRY_SPREAD_MILLIS);
+            if (found.isEmpty() || !simulation.admits(found.get(), need)) {
+                return false;
             }
+            waiting.remove(entry.id());
+            place(entry.id(), request, found.get(), need);
+            return true;
         }
-        if (!waiting.isEmpty() && !scheduled) {
-            scheduled = true;
-            simulation.time().after(RETRY_MILLIS, this::runScheduledTurn);
+
+        @Override
+        public boolean shouldRefuse(WaitingRequest entry) {
+            PromptNeed need = waiting.get(entry.id()).need();
+            return simulation.shouldRefuse(Simulation.PROFILE.prefillMillis(need.promptTokens(), 1), need);
         }
-    }
 
-    private static double weightPerPrefillMillis(SimulatedRequest request) {
-        PromptNeed need = request.need();
-        return need.weight() / prefillMillis(need);
+        @Override
+        public void refuse(WaitingRequest entry, WaitReason reason) {
+            SimulatedRequest request = waiting.remove(entry.id());
+            request.refused(StartRule.retryAfterMillis(tracker.meanPendingPrefillMillis(), request.need())
+                    + MEAN_RETRY_SPREAD_MILLIS);
+        }
     }
 
-    private static double prefillMillis(PromptNeed need) {
-        return Simulation.PROFILE.prefillMillis(need.promptTokens(), 1);
+    private static final class NoListener implements EngineScheduler.Listener {
+        @Override
+        public void placed(EngineJob job, Placement placement) {}
+
+        @Override
+        public void refused(double retryAfterMillis) {}
     }
 
     private List<EngineCandidate> candidates(double weight) {
@@ -169,17 +216,9 @@
         return (RendezvousHash.rank(name, engine) >>> 1) / (double) Integer.MAX_VALUE;
     }
 
-    private void place(SimulatedRequest request, Placement placement) {
+    private void place(JobId id, SimulatedRequest request, Placement placement, PromptNeed need) {
         double now = simulation.time().now();
-        PromptNeed need = request.need();
-        EngineJob job = new EngineJob(
-                new JobId(name, nextNumber++),
-                placement.engines(),
-                placement.heldTokens(),
-                need.promptTokens(),
-                need.outputTokens(),
-                need.firstEventTargetMillis(),
-                need.gapTargetMillis());
+        EngineJob job = EngineJob.of(id, placement, need);
         tracker.add(job, now, 1);
         broadcast(other -> other.tracker.add(job, now, 1));
         List<SimulatedEngine> chosen =
