Keep searches for requests that have not been tried, and do not queue behind harmful ones

Cause: within a group, requests that each turn tries in vain, such as late ones that would harm others, could use up all searches, and a fresh request queued behind them would become late as well. Change: half of the searches of a group are kept for requests for which none has been made yet, and a new request queues only behind requests that wait for room. Backlog keeps why the last search did not place a request.

--- a/relay/src/main/java/org/endivehold/relay/schedule/Backlog.java
+++ b/relay/src/main/java/org/endivehold/relay/schedule/Backlog.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.endivehold.relay.engine.JobId;
 import org.endivehold.relay.route.TrafficClass;
@@ -23,8 +24,10 @@
  * <p>Requests of a service are tried in the {@link TurnOrder}: the most urgent first, with a minimum for lower ranks,
  * then those of the customer that has taken least of the engines, then by weight per prefill time. A turn searches
  * engines for a few of them only. Prompts of similar length form a group, and each group gets searches in every turn:
- * requests that fit nowhere do not hide those of other groups. A request for which no search was made in a turn is
- * refused only if a search of its group found no engines in that turn.
+ * requests that fit nowhere do not hide those of other groups. Within a group, half of the searches are kept for
+ * requests for which none has been made yet, so that a few that are found no engines again and again do not hide the
+ * others. A request for which no search was made in a turn is refused only if a search of its group found no engines in
+ * that turn.
  *
  * <p>Example: a hundred short prompts wait for a slot, since all engines that have memory for them are full, and a long
  * one waits. Of the 8 searches of a turn the short prompts get 7 and the long one gets 1. It is placed as soon as
@@ -41,13 +44,16 @@
     private final Map<JobId, WaitingRequest> waiting = new LinkedHashMap<>();
     private final Map<String, RankedShares> shares = new HashMap<>();
     private final Map<PromptGroup, Integer> classedByGroup = new HashMap<>();
+    /** Why the last search for a waiting request did not place it. */
+    private final Map<JobId, WaitReason> unplacedReasons = new HashMap<>();
+
     private final Map<String, WaitingRequest> firstUnplaced = new HashMap<>();
     private int turns;
 
     /** Decides on the requests that a turn considers. */
     public interface Decisions {
-        /** Searches engines for a request and sends it there; returns whether it was placed. */
-        boolean tryPlace(WaitingRequest entry);
+        /** Searches engines for a request and sends it there; returns why it was not placed, empty if it was. */
+        Optional<WaitReason> tryPlace(WaitingRequest entry);
 
         /** Returns whether it is of no use that a request waits any longer. */
         boolean shouldRefuse(WaitingRequest entry);
@@ -68,13 +74,17 @@
     /**
      * Adds a request; returns false if the backlog is full. While it is full, a request of a class other than the
      * default is still added, and the next turn refuses the last ones in order instead of those that came last.
+     *
+     * @param entry the request
+     * @param searched why a search for it did not place it; empty if none was made
      */
-    public boolean add(WaitingRequest entry) {
+    public boolean add(WaitingRequest entry, Optional<WaitReason> searched) {
         int limit = entry.isClassed() ? capacity + capacity / OVERFLOW_DIVISOR : capacity;
         if (waiting.size() >= limit) {
             return false;
         }
         waiting.put(entry.id(), entry);
+        searched.ifPresent(reason -> unplacedReasons.put(entry.id(), reason));
         shares(entry).arrived(entry.traffic(), entry.submittedAt());
         if (entry.isClassed()) {
             classedByGroup.merge(PromptGroup.of(entry), 1, Integer::sum);
@@ -88,6 +98,7 @@
         if (entry == null) {
             return false;
         }
+        unplacedReasons.remove(id);
         shares(entry).left(entry.traffic());
         if (entry.isClassed()) {
             classedByGroup.computeIfPresent(PromptGroup.of(entry), (group, count) -> count > 1 ? count - 1 : null);
@@ -153,11 +164,24 @@
     }
 
     /**
-     * Returns whether requests of a class other than the default wait in the group of a request, so that it has to wait
-     * for its turn: placed at once, it would pass over them.
+     * Returns whether requests of a class other than the default wait for room in the group of a request, so that it
+     * has to wait for its turn: placed at once, it would pass over them. Those that had room, but would have harmed
+     * others too much, do not count: a request that is not late yet may be worth more, and must not become late behind
+     * them.
      */
     public boolean mustQueue(WaitingRequest entry) {
-        return entry.isClassed() && classedByGroup.containsKey(PromptGroup.of(entry));
+        PromptGroup group = PromptGroup.of(entry);
+        return entry.isClassed()
+                && classedByGroup.containsKey(group)
+                && waiting.values().stream()
+                        .anyMatch(other -> other.isClassed()
+                                && unplacedReasons.get(other.id()) != WaitReason.HARM
+                                && PromptGroup.of(other).equals(group));
+    }
+
+    /** Returns why a request waits; empty if it is not waiting. */
+    Optional<WaitReason> reason(JobId id) {
+        return contains(id) ? Optional.of(unplacedReasons.getOrDefault(id, WaitReason.ORDER)) : Optional.empty();
     }
 
     /** Returns the services that have waiting requests. */
@@ -193,7 +217,7 @@
             groupSizes.merge(PromptGroup.of(entry), 1, Integer::sum);
         }
         SearchBudget budget = new SearchBudget(MAX_SEARCHES, groupSizes, turns++);
-        byService.forEach((service, entries) -> search(new TurnOrder(entries, shares(service)), budget, decisions));
+        byService.values().forEach(entries -> search(entries, budget, decisions));
         byService.values().forEach(entries -> refuse(entries, budget, decisions));
         while (waiting.size() > capacity) {
             refuseLast(decisions);
@@ -215,27 +239,54 @@
         }
     }
 
-    /** Searches engines for the requests of a service, as many as the budget allows. */
-    private void search(TurnOrder order, SearchBudget budget, Decisions decisions) {
-        Optional<WaitingRequest> next = nextSearch(order, budget);
+    /**
+     * Searches engines for the requests of a service, as many as the budget allows: first with a part of it kept for
+     * requests for which no search has been made yet, then with what is left.
+     */
+    private void search(List<WaitingRequest> entries, SearchBudget budget, Decisions decisions) {
+        RankedShares serviceShares = shares(entries.get(0));
+        Set<JobId> tried = new HashSet<>();
+        search(
+                new TurnOrder(entries, serviceShares),
+                entry -> !unplacedReasons.containsKey(entry.id()) || budget.mayRepeat(PromptGroup.of(entry)),
+                tried,
+                budget,
+                decisions);
+        if (entries.stream().anyMatch(entry -> budget.has(PromptGroup.of(entry)))) {
+            search(new TurnOrder(entries, serviceShares), entry -> true, tried, budget, decisions);
+        }
+    }
+
+    private void search(
+            TurnOrder order,
+            Predicate<WaitingRequest> mayTry,
+            Set<JobId> tried,
+            SearchBudget budget,
+            Decisions decisions) {
+        Predicate<WaitingRequest> available = entry -> budget.has(PromptGroup.of(entry))
+                && contains(entry.id())
+                && !tried.contains(entry.id())
+                && mayTry.test(entry);
+        Optional<WaitingRequest> next = order.next(available);
         while (next.isPresent()) {
-            WaitingRequest entry = next.get();
-            PromptGroup group = PromptGroup.of(entry);
-            budget.take(group);
-            boolean placed = decisions.tryPlace(entry);
-            budget.searched(group, placed);
-            if (placed) {
-                remove(entry.id());
-                shares(entry).placedAfterWaiting(entry.traffic());
-            } else {
-                firstUnplaced.putIfAbsent(entry.request().service(), entry);
-            }
-            next = nextSearch(order, budget);
+            tried.add(next.get().id());
+            search(next.get(), budget, decisions);
+            next = order.next(available);
         }
     }
 
-    private Optional<WaitingRequest> nextSearch(TurnOrder order, SearchBudget budget) {
-        return order.next(entry -> contains(entry.id()) && budget.has(PromptGroup.of(entry)));
+    private void search(WaitingRequest entry, SearchBudget budget, Decisions decisions) {
+        PromptGroup group = PromptGroup.of(entry);
+        boolean repeated = unplacedReasons.containsKey(entry.id());
+        Optional<WaitReason> unplaced = decisions.tryPlace(entry);
+        budget.take(group, unplaced.isEmpty(), repeated);
+        if (unplaced.isEmpty()) {
+            remove(entry.id());
+            shares(entry).placedAfterWaiting(entry.traffic());
+        } else if (contains(entry.id())) {
+            unplacedReasons.put(entry.id(), unplaced.get());
+            firstUnplaced.putIfAbsent(entry.request().service(), entry);
+        }
     }
 
     private void refuse(List<WaitingRequest> entries, SearchBudget budget, Decisions decisions) {
--- a/relay/src/main/java/org/endivehold/relay/schedule/LocalScheduler.java
+++ b/relay/src/main/java/org/endivehold/relay/schedule/LocalScheduler.java
@@ -1,9 +1,7 @@
 package org.endivehold.relay.schedule;
 
 import io.vertx.core.Vertx;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -60,9 +58,6 @@
     private final CandidateFinder finder;
     private final Backlog backlog = new Backlog(MAX_WAITING);
     private final Backlog.Decisions decisions = new TurnDecisions();
-    /** Why the last search for a waiting request did not place it. */
-    private final Map<JobId, WaitReason> waitReasons = new HashMap<>();
-
     private RoomClaims claims = RoomClaims.NONE;
     private boolean scheduled;
 
@@ -100,11 +95,14 @@
             return;
         }
         WaitingRequest entry = new WaitingRequest(request, profile.get(), listener, now());
-        boolean mayTry = !request.mayWait() || !backlog.mustQueue(entry);
-        if (mayTry && tryPlace(entry)) {
-            return;
+        Optional<WaitReason> unplaced = Optional.empty();
+        if (!request.mayWait() || !backlog.mustQueue(entry)) {
+            unplaced = tryPlace(entry);
+            if (unplaced.isEmpty()) {
+                return;
+            }
         }
-        Optional<WaitReason> refusal = refusal(entry);
+        Optional<WaitReason> refusal = refusal(entry, unplaced);
         if (refusal.isPresent()) {
             refuse(entry, refusal.get());
         } else {
@@ -113,7 +111,7 @@
     }
 
     /** Lets a request wait, or returns why it is refused at once. */
-    private Optional<WaitReason> refusal(WaitingRequest entry) {
+    private Optional<WaitReason> refusal(WaitingRequest entry, Optional<WaitReason> unplaced) {
         if (!entry.request().mayWait()) {
             return Optional.of(WaitReason.NOT_AT_ONCE);
         }
@@ -123,7 +121,7 @@
         if (entry.isClassed() && comesTooLate(entry)) {
             return Optional.of(WaitReason.NO_TIME);
         }
-        return backlog.add(entry) ? Optional.empty() : Optional.of(WaitReason.QUEUE_FULL);
+        return backlog.add(entry, unplaced) ? Optional.empty() : Optional.of(WaitReason.QUEUE_FULL);
     }
 
     /** Returns whether room for a request is predicted to come too late for its next event to be of use. */
@@ -144,7 +142,6 @@
     }
 
     private void refuse(WaitingRequest entry, WaitReason reason) {
-        waitReasons.remove(entry.id());
         claims.removed(entry.id());
         double retryAfterMillis = entry.isClassed() ? expectedRoomMillis(entry) : defaultRetryAfterMillis(entry);
         entry.listener().explained(reason);
@@ -166,7 +163,6 @@
     @Override
     public void withdraw(JobId id) {
         if (backlog.remove(id)) {
-            waitReasons.remove(id);
             claims.removed(id);
         }
     }
@@ -196,26 +192,23 @@
         return request.need().memoryTokens() > capacity;
     }
 
-    private boolean tryPlace(WaitingRequest entry) {
+    /** Places a request if engines suit it now; returns why not, empty if it was placed. */
+    private Optional<WaitReason> tryPlace(WaitingRequest entry) {
         double now = now();
         PromptNeed need = entry.need(now);
         EngineRequest request = entry.request();
         List<EngineCandidate> candidates = claims.available(request, finder.candidates(request, entry.profile()), now);
         Optional<Placement> found = EnginePlacement.place(jobs.tracker(), candidates, need, now);
         if (found.isEmpty() || !StartRule.admits(found.get(), need)) {
-            waitReasons.put(entry.id(), found.isEmpty() ? WaitReason.NO_ENGINE : WaitReason.HARM);
-            return false;
+            return Optional.of(found.isEmpty() ? WaitReason.NO_ENGINE : WaitReason.HARM);
         }
         claims.removed(entry.id());
-        WaitReason reason = waitReasons.remove(entry.id());
-        if (backlog.contains(entry.id())) {
-            entry.listener().explained(reason == null ? WaitReason.ORDER : reason);
-        }
+        backlog.reason(entry.id()).ifPresent(entry.listener()::explained);
         Placement placement = found.get();
         EngineJob job = EngineJob.of(request.id(), placement, need);
         jobs.tracker().add(job, now, health.slowdown(job.decodeEngine(), now));
         entry.listener().placed(job, placement);
-        return true;
+        return Optional.empty();
     }
 
     /** Counts a job in the share of its customer, whichever daemon placed it. */
@@ -263,7 +256,7 @@
     /** Decides on the requests of a turn by the tracked jobs and the {@link StartRule}. */
     private final class TurnDecisions implements Backlog.Decisions {
         @Override
-        public boolean tryPlace(WaitingRequest entry) {
+        public Optional<WaitReason> tryPlace(WaitingRequest entry) {
             return LocalScheduler.this.tryPlace(entry);
         }
 
--- a/relay/src/main/java/org/endivehold/relay/schedule/SearchBudget.java
+++ b/relay/src/main/java/org/endivehold/relay/schedule/SearchBudget.java
@@ -16,6 +16,8 @@
  */
 final class SearchBudget {
     private final Map<PromptGroup, Integer> left = new HashMap<>();
+    private final Map<PromptGroup, Integer> all;
+    private final Map<PromptGroup, Integer> failedRepeats = new HashMap<>();
     private final Set<PromptGroup> failed = new HashSet<>();
     private final Set<PromptGroup> succeeded = new HashSet<>();
 
@@ -37,20 +39,31 @@
                 given++;
             }
         }
+        all = Map.copyOf(left);
     }
 
     boolean has(PromptGroup group) {
         return left.getOrDefault(group, 0) > 0;
     }
 
-    /** Uses up one search of a group. */
-    void take(PromptGroup group) {
+    /**
+     * Uses up one search of a group.
+     *
+     * @param group the group
+     * @param found whether it found engines
+     * @param repeated whether an earlier search for the same request had found none
+     */
+    void take(PromptGroup group, boolean found, boolean repeated) {
         left.merge(group, -1, Integer::sum);
+        (found ? succeeded : failed).add(group);
+        if (!found && repeated) {
+            failedRepeats.merge(group, 1, Integer::sum);
+        }
     }
 
-    /** Notes whether a search of a group found engines. */
-    void searched(PromptGroup group, boolean found) {
-        (found ? succeeded : failed).add(group);
+    /** Returns whether repeated searches have failed for less than half of the searches of a group in this turn. */
+    boolean mayRepeat(PromptGroup group) {
+        return 2 * failedRepeats.getOrDefault(group, 0) < all.getOrDefault(group, 0);
     }
 
     /** Returns whether engines were searched for a group and all searches found some, so that there may be more. */
--- a/relay/src/test/java/org/endivehold/relay/schedule/BacklogSharesTest.java
+++ b/relay/src/test/java/org/endivehold/relay/schedule/BacklogSharesTest.java
@@ -44,7 +44,7 @@
 
     private WaitingRequest add(long tokens, TrafficClass traffic) {
         WaitingRequest entry = requests.request(tokens, traffic);
-        assertTrue(backlog.add(entry));
+        assertTrue(backlog.add(entry, Optional.empty()));
         return entry;
     }
 
@@ -86,6 +86,34 @@
         assertFalse(backlog.mustQueue(requests.request(SHORT, traffic("b", 1))));
     }
 
+    /** A fresh request that is worth its harm would become late behind those that are late already. */
+    @Example
+    void aRequestDoesNotQueueBehindThoseThatWouldHarmOthers() {
+        reset();
+        add(SHORT, traffic("a", 1));
+        requests.fits = entry -> false;
+        requests.reason = WaitReason.HARM;
+        backlog.runTurn(requests);
+        assertFalse(backlog.mustQueue(requests.request(SHORT, traffic("b", 1))));
+    }
+
+    /** Late requests that no search places would keep those behind them from being tried until they are late too. */
+    @Example
+    void requestsThatWereTriedInVainDoNotHideTheOthersOfTheirGroup() {
+        reset();
+        for (int i = 0; i < MAX_SEARCHES; i++) {
+            add(SHORT, traffic("urgent", 2));
+        }
+        requests.fits = entry -> false;
+        backlog.runTurn(requests);
+        WaitingRequest fresh = add(SHORT, traffic("low", 0));
+        requests.fits = entry -> entry.equals(fresh);
+        requests.searched.clear();
+        backlog.runTurn(requests);
+        assertEquals(List.of(fresh.id()), new ArrayList<>(requests.placed));
+        assertEquals(MAX_SEARCHES, requests.searched.size());
+    }
+
     /** While a queue is full, a customer that fills it would get every place that comes free. */
     @Example
     void aFullBacklogRefusesTheLastInOrder() {
@@ -106,11 +134,11 @@
     void theOverflowOfAFullBacklogIsBounded() {
         reset();
         int added = 0;
-        while (backlog.add(requests.request(SHORT, traffic("large", 1)))) {
+        while (backlog.add(requests.request(SHORT, traffic("large", 1)), Optional.empty())) {
             added++;
         }
         assertEquals(CAPACITY + CAPACITY / 4, added);
-        assertFalse(backlog.add(requests.request(SHORT, TrafficClass.DEFAULT)));
+        assertFalse(backlog.add(requests.request(SHORT, TrafficClass.DEFAULT), Optional.empty()));
     }
 
     /** Turns that search for fewer requests than they may would leave engines idle while requests wait. */
--- a/relay/src/test/java/org/endivehold/relay/schedule/BacklogTest.java
+++ b/relay/src/test/java/org/endivehold/relay/schedule/BacklogTest.java
@@ -22,7 +22,7 @@
 
     private WaitingRequest add(long tokens) {
         WaitingRequest entry = requests.request(tokens, TrafficClass.DEFAULT);
-        assertTrue(backlog.add(entry));
+        assertTrue(backlog.add(entry, Optional.empty()));
         return entry;
     }
 
@@ -94,7 +94,8 @@
     @Test
     void everyGroupOfManyServicesIsSearchedAfterAFewTurns() {
         for (int service = 0; service < 12; service++) {
-            assertTrue(backlog.add(requests.request("service-" + service, SHORT, TrafficClass.DEFAULT)));
+            assertTrue(
+                    backlog.add(requests.request("service-" + service, SHORT, TrafficClass.DEFAULT), Optional.empty()));
         }
         requests.fits = entry -> false;
         for (int turn = 0; turn < 12; turn++) {
--- a/relay/src/test/java/org/endivehold/relay/schedule/SharedFleet.java
+++ b/relay/src/test/java/org/endivehold/relay/schedule/SharedFleet.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
@@ -82,16 +83,22 @@
             EngineRequest request = new EngineRequest(id, SERVICE, NEED.withTraffic(traffic), Set.of(), Set.of(), true);
             WaitingRequest entry = new WaitingRequest(request, PROFILE, new NoListener(), now);
             repeatsLeft.put(id, repeats);
-            boolean placed = !backlog.mustQueue(entry) && tryPlace(entry);
-            if (!placed && !backlog.add(entry)) {
+            Optional<WaitReason> unplaced = Optional.empty();
+            if (!backlog.mustQueue(entry)) {
+                unplaced = tryPlace(entry);
+                if (unplaced.isEmpty()) {
+                    return;
+                }
+            }
+            if (!backlog.add(entry, unplaced)) {
                 refuse(entry, WaitReason.QUEUE_FULL);
             }
         }
 
         @Override
-        public boolean tryPlace(WaitingRequest entry) {
+        public Optional<WaitReason> tryPlace(WaitingRequest entry) {
             if (ends.size() >= slots) {
-                return false;
+                return Optional.of(WaitReason.NO_ENGINE);
             }
             String customer = entry.traffic().customer();
             customers.get(customer).placed++;
@@ -106,7 +113,7 @@
                     decider.untold.add(customer);
                 }
             }
-            return true;
+            return Optional.empty();
         }
 
         void charge(String customer) {
@@ -189,7 +196,7 @@
             for (JobId id : from.backlog.submittedBy("daemon-" + daemon)) {
                 WaitingRequest entry = from.backlog.waiting(id);
                 to.repeatsLeft.put(id, from.repeatsLeft.get(id));
-                to.backlog.add(entry);
+                to.backlog.add(entry, Optional.empty());
             }
         }
     }
--- a/relay/src/test/java/org/endivehold/relay/schedule/WaitingRequests.java
+++ b/relay/src/test/java/org/endivehold/relay/schedule/WaitingRequests.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.LinkedHashSet;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
@@ -23,6 +24,7 @@
     final Set<JobId> late = new HashSet<>();
     Predicate<WaitingRequest> fits = entry -> true;
     Consumer<WaitingRequest> onPlaced = entry -> {};
+    WaitReason reason = WaitReason.NO_ENGINE;
     private long nextNumber;
 
     WaitingRequest request(long promptTokens, TrafficClass traffic) {
@@ -37,14 +39,14 @@
     }
 
     @Override
-    public boolean tryPlace(WaitingRequest entry) {
+    public Optional<WaitReason> tryPlace(WaitingRequest entry) {
         searched.add(entry.id());
         boolean fit = fits.test(entry);
         if (fit) {
             placed.add(entry.id());
             onPlaced.accept(entry);
         }
-        return fit;
+        return fit ? Optional.empty() : Optional.of(reason);
     }
 
     @Override
--- a/relay/src/test/java/org/endivehold/relay/simulation/SimulatedDaemon.java
+++ b/relay/src/test/java/org/endivehold/relay/simulation/SimulatedDaemon.java
@@ -66,12 +66,16 @@
                 new NoListener(),
                 simulation.time().now());
         waiting.put(id, request);
-        if (!backlog.mustQueue(entry) && decisions.tryPlace(entry)) {
-            return;
+        Optional<WaitReason> unplaced = Optional.empty();
+        if (!backlog.mustQueue(entry)) {
+            unplaced = decisions.tryPlace(entry);
+            if (unplaced.isEmpty()) {
+                return;
+            }
         }
         if (decisions.shouldRefuse(entry)) {
             decisions.refuse(entry, WaitReason.LATE);
-        } else if (backlog.add(entry)) {
+        } else if (backlog.add(entry, unplaced)) {
             scheduleTurn(RETRY_MILLIS);
         } else {
             decisions.refuse(entry, WaitReason.QUEUE_FULL);
@@ -140,17 +144,17 @@
     /** Decides as the production scheduler does. */
     private final class TurnDecisions implements Backlog.Decisions {
         @Override
-        public boolean tryPlace(WaitingRequest entry) {
+        public Optional<WaitReason> tryPlace(WaitingRequest entry) {
             SimulatedRequest request = waiting.get(entry.id());
             PromptNeed need = request.need();
             Optional<Placement> found = EnginePlacement.place(
                     tracker, candidates(need.weight()), need, simulation.time().now());
             if (found.isEmpty() || !simulation.admits(found.get(), need)) {
-                return false;
+                return Optional.of(found.isEmpty() ? WaitReason.NO_ENGINE : WaitReason.HARM);
             }
             waiting.remove(entry.id());
             place(entry.id(), request, found.get(), need);
-            return true;
+            return Optional.empty();
         }
 
         @Override
