Search engines for a request before it is refused on arrival

Cause: a request that had to queue behind others and had no time to wait was refused without a search, although engines may have had room for it. Change: such a request is tried at once. Result: mvn verify -pl relay -am passes, 570 tests in the relay. There is no test of its own for this rule.

--- a/relay/src/main/java/org/endivehold/relay/schedule/LocalScheduler.java
+++ b/relay/src/main/java/org/endivehold/relay/schedule/LocalScheduler.java
@@ -96,7 +96,7 @@
         }
         WaitingRequest entry = new WaitingRequest(request, profile.get(), listener, now());
         Optional<WaitReason> unplaced = Optional.empty();
-        if (!request.mayWait() || !backlog.mustQueue(entry)) {
+        if (mayTryNow(entry)) {
             unplaced = tryPlace(entry);
             if (unplaced.isEmpty()) {
                 return;
@@ -110,6 +110,13 @@
         }
     }
 
+    /** Returns whether a search is made for a request at once: none is refused while engines may have room for it. */
+    private boolean mayTryNow(WaitingRequest entry) {
+        return !entry.request().mayWait()
+                || !backlog.mustQueue(entry)
+                || StartRule.shouldRefuse(entry.prefillMillis(), entry.request().need());
+    }
+
     /** Lets a request wait, or returns why it is refused at once. */
     private Optional<WaitReason> refusal(WaitingRequest entry, Optional<WaitReason> unplaced) {
         if (!entry.request().mayWait()) {
