--- a/relay/src/main/java/org/endivehold/relay/schedule/LocalScheduler.java
+++ b/relay/src/main/java/org/endivehold/relay/schedule/LocalScheduler.java
@@ -1,43 +1,54 @@
 package org.endivehold.relay.schedule;
 
 import io.vertx.core.Vertx;
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.endivehold.misc.Ticker;
+import org.endivehold.relay.engine.EngineCandidate;
 import org.endivehold.relay.engine.EngineJob;
 import org.endivehold.relay.engine.EnginePlacement;
 import org.endivehold.relay.engine.JobId;
 import org.endivehold.relay.engine.Placement;
 import org.endivehold.relay.engine.PromptNeed;
+import org.endivehold.relay.engine.RoomForecast;
 import org.endivehold.relay.engine.StartRule;
 import org.endivehold.relay.limit.UpstreamHealth;
 import org.endivehold.relay.route.EngineProfile;
 import org.endivehold.relay.route.RelayService;
+import org.endivehold.relay.route.TrafficClass;
+import org.endivehold.relay.share.EngineCost;
 import org.endivehold.relay.state.FleetView;
+import org.endivehold.relay.state.Upstream;
 
 /**
  * Places requests at this daemon, based only on the jobs in its own tracker.
  *
- * <p>A request is sent if the {@link StartRule} admits it, otherwise it waits. Waiting requests are tried again in
- * descending order of weight per prefill time.
+ * <p>The shares of customers are counted from every job that the tracker learns of, whichever daemon placed it. So a
+ * daemon that becomes the decider has the same counters as its predecessor, as far as it has been told of its jobs.
+ *
+ * <p>A request is sent if the {@link StartRule} admits it, otherwise it waits in the {@link Backlog}, which decides in
+ * which order the waiting requests are tried again.
  */
 public final class LocalScheduler implements EngineScheduler {
     /** Pause after which waiting requests are tried again even if no capacity was reported free, in milliseconds. */
     private static final int RETRY_MILLIS = 25;
     /** Maximum number of waiting requests. */
     private static final int MAX_WAITING = 2_000;
-    /** Maximum number of requests for which engines are searched in one turn, to keep the event loop responsive. */
-    private static final int MAX_TRIES = 8;
     /** Shortest time after which the caller of a refused request may retry, in milliseconds. */
     private static final int MIN_RETRY_AFTER_MILLIS = 400;
     /** Time added for each waiting request, so that callers do not all retry together, in milliseconds. */
     private static final double RETRY_AFTER_PER_WAITING_MILLIS = 20;
 
+    /**
+     * Part of the predicted time until room is free after which it may be: jobs are predicted to use all the tokens
+     * that they asked for, and many end earlier.
+     */
+    private static final double EARLY_END_SHARE = 0.5;
+    /** Upper bound of each part of the expected time in a refusal, in milliseconds: what comes later is a guess. */
+    private static final double MAX_EXPECTED_ROOM_MILLIS = 10_000;
+
     private final Vertx vertx;
     private final Ticker ticker;
     private final UniformRandomProvider random;
@@ -45,7 +56,9 @@
     private final UpstreamHealth health;
     private final JobReplicator jobs;
     private final CandidateFinder finder;
-    private final Map<JobId, WaitingRequest> waiting = new LinkedHashMap<>();
+    private final Backlog backlog = new Backlog(MAX_WAITING);
+    private final Backlog.Decisions decisions = new TurnDecisions();
+    private RoomClaims claims = RoomClaims.NONE;
     private boolean scheduled;
 
     /** Creates a scheduler without requests. */
@@ -65,55 +78,110 @@
         this.jobs = jobs;
         this.finder = new CandidateFinder(fleet, health, jobs, division, ticker);
         jobs.onCapacityFreed(this::capacityFreed);
+        jobs.tracker().onAdded(this::charge);
     }
 
-    private record WaitingRequest(EngineRequest request, EngineProfile profile, Listener listener, double submittedAt) {
-        PromptNeed need(double now) {
-            return request.need().after(now - submittedAt);
-        }
-
-        double prefillMillis() {
-            return profile.prefillMillis(request.need().promptTokens(), 1);
-        }
-
-        double weightPerPrefillMillis() {
-            return request.need().weight() / prefillMillis();
-        }
+    /** Keeps room free for waiting requests as decided by these claims. */
+    public void setClaims(RoomClaims value) {
+        claims = value;
     }
 
     @Override
     public void submit(EngineRequest request, Listener listener) {
         Optional<EngineProfile> profile = profile(request.service());
         if (profile.isEmpty() || exceedsTotalMemory(request, profile.get())) {
+            listener.explained(WaitReason.TOO_LARGE);
             listener.refused(MIN_RETRY_AFTER_MILLIS);
             return;
         }
         WaitingRequest entry = new WaitingRequest(request, profile.get(), listener, now());
-        if (tryPlace(entry)) {
-            return;
+        Optional<WaitReason> unplaced = Optional.empty();
+        if (mayTryNow(entry)) {
+            unplaced = tryPlace(entry);
+            if (unplaced.isEmpty()) {
+                return;
+            }
         }
-        boolean refuse = StartRule.shouldRefuse(entry.prefillMillis(), request.need());
-        if (!request.mayWait() || refuse || waiting.size() >= MAX_WAITING) {
-            listener.refused(retryAfterMillis(request.need()));
-            return;
+        Optional<WaitReason> refusal = refusal(entry, unplaced);
+        if (refusal.isPresent()) {
+            refuse(entry, refusal.get());
+        } else {
+            scheduleTurn(RETRY_MILLIS);
         }
-        waiting.put(request.id(), entry);
-        scheduleTurn(RETRY_MILLIS);
+    }
+
+    /** Returns whether a search is made for a request at once: none is refused while engines may have room for it. */
+    private boolean mayTryNow(WaitingRequest entry) {
+        return !entry.request().mayWait()
+                || !backlog.mustQueue(entry)
+                || StartRule.shouldRefuse(entry.prefillMillis(), entry.request().need());
+    }
+
+    /** Lets a request wait, or returns why it is refused at once. */
+    private Optional<WaitReason> refusal(WaitingRequest entry, Optional<WaitReason> unplaced) {
+        if (!entry.request().mayWait()) {
+            return Optional.of(WaitReason.NOT_AT_ONCE);
+        }
+        if (StartRule.shouldRefuse(entry.prefillMillis(), entry.request().need())) {
+            return Optional.of(WaitReason.LATE);
+        }
+        if (entry.isClassed() && comesTooLate(entry)) {
+            return Optional.of(WaitReason.NO_TIME);
+        }
+        return backlog.add(entry, unplaced) ? Optional.empty() : Optional.of(WaitReason.QUEUE_FULL);
+    }
+
+    /** Returns whether room for a request is predicted to come too late for its next event to be of use. */
+    private boolean comesTooLate(WaitingRequest entry) {
+        return EARLY_END_SHARE * millisUntilRoom(entry) > entry.request().need().eventBudgetMillis();
+    }
+
+    private double millisUntilRoom(WaitingRequest entry) {
+        return RoomForecast.millisUntilRoom(
+                jobs.tracker(), engines(entry), entry.request().need(), now());
+    }
+
+    private List<String> engines(WaitingRequest entry) {
+        return fleet.upstreams(entry.request().service()).stream()
+                .map(Upstream::id)
+                .filter(id -> !entry.request().excluded().contains(id))
+                .toList();
+    }
+
+    private void refuse(WaitingRequest entry, WaitReason reason) {
+        claims.removed(entry.id());
+        double retryAfterMillis = entry.isClassed() ? expectedRoomMillis(entry) : defaultRetryAfterMillis(entry);
+        entry.listener().explained(reason);
+        entry.listener().refused(retryAfterMillis);
+    }
+
+    /**
+     * Returns when a request of a class other than the default may come back: when room is expected and the requests
+     * that are before it have been placed, with a random delay that grows with this time.
+     */
+    private double expectedRoomMillis(WaitingRequest entry) {
+        int engines = Math.max(1, engines(entry).size());
+        double room = Math.min(MAX_EXPECTED_ROOM_MILLIS, millisUntilRoom(entry));
+        double ahead = Math.min(MAX_EXPECTED_ROOM_MILLIS, backlog.workAheadMillis(entry) / engines);
+        double expected = room + ahead;
+        return expected + MIN_RETRY_AFTER_MILLIS + random.nextDouble() * (MIN_RETRY_AFTER_MILLIS + expected / 2);
     }
 
     @Override
     public void withdraw(JobId id) {
-        waiting.remove(id);
+        if (backlog.remove(id)) {
+            claims.removed(id);
+        }
     }
 
     /** Returns whether a request is waiting here. */
     boolean isWaiting(JobId id) {
-        return waiting.containsKey(id);
+        return backlog.contains(id);
     }
 
     /** Withdraws all requests that one run of a daemon submitted. */
     public void withdrawAll(String daemon) {
-        waiting.keySet().removeIf(id -> id.daemon().equals(daemon));
+        backlog.submittedBy(daemon).forEach(this::withdraw);
     }
 
     private double now() {
@@ -131,33 +199,48 @@
         return request.need().memoryTokens() > capacity;
     }
 
-    private boolean tryPlace(WaitingRequest entry) {
+    /** Places a request if engines suit it now; returns why not, empty if it was placed. */
+    private Optional<WaitReason> tryPlace(WaitingRequest entry) {
         double now = now();
         PromptNeed need = entry.need(now);
         EngineRequest request = entry.request();
-        Optional<Placement> found =
-                EnginePlacement.place(jobs.tracker(), finder.candidates(request, entry.profile()), need, now);
+        List<EngineCandidate> candidates = claims.available(request, finder.candidates(request, entry.profile()), now);
+        Optional<Placement> found = EnginePlacement.place(jobs.tracker(), candidates, need, now);
         if (found.isEmpty() || !StartRule.admits(found.get(), need)) {
-            return false;
+            return Optional.of(found.isEmpty() ? WaitReason.NO_ENGINE : WaitReason.HARM);
         }
+        claims.removed(entry.id());
+        backlog.reason(entry.id()).ifPresent(entry.listener()::explained);
         Placement placement = found.get();
         EngineJob job = EngineJob.of(request.id(), placement, need);
         jobs.tracker().add(job, now, health.slowdown(job.decodeEngine(), now));
         entry.listener().placed(job, placement);
-        return true;
+        return Optional.empty();
+    }
+
+    /** Counts a job in the share of its customer, whichever daemon placed it. */
+    private void charge(EngineJob job) {
+        if (job.traffic().equals(TrafficClass.DEFAULT)) {
+            return;
+        }
+        fleet.upstream(job.decodeEngine())
+                .map(upstream -> upstream.entry().service())
+                .ifPresent(service -> profile(service)
+                        .ifPresent(
+                                profile -> backlog.charge(service, job.traffic(), EngineCost.of(job, profile), now())));
     }
 
     /** Tries the waiting requests soon, since a job has finished its prefill or ended. */
     private void capacityFreed() {
-        if (!waiting.isEmpty()) {
+        if (backlog.size() > 0) {
             scheduleTurn(1);
         }
     }
 
-    private double retryAfterMillis(PromptNeed need) {
+    private double defaultRetryAfterMillis(WaitingRequest entry) {
         double randomDelay = MIN_RETRY_AFTER_MILLIS + random.nextInt(MIN_RETRY_AFTER_MILLIS);
-        double loadDelay = StartRule.retryAfterMillis(jobs.tracker().meanPendingPrefillMillis(), need);
-        return randomDelay + loadDelay + RETRY_AFTER_PER_WAITING_MILLIS * waiting.size();
+        double loadDelay = StartRule.retryAfterMillis(jobs.tracker().meanPendingPrefillMillis(), entry.need(now()));
+        return randomDelay + loadDelay + RETRY_AFTER_PER_WAITING_MILLIS * backlog.size();
     }
 
     private void scheduleTurn(int millis) {
@@ -169,26 +252,29 @@
 
     private void runTurn() {
         scheduled = false;
-        List<WaitingRequest> order = new ArrayList<>(waiting.values());
-        order.sort(Comparator.comparingDouble(WaitingRequest::weightPerPrefillMillis)
-                .reversed());
-        int tries = 0;
-        for (WaitingRequest entry : order) {
-            JobId id = entry.request().id();
-            if (!waiting.containsKey(id)) {
-                continue;
-            }
-            PromptNeed need = entry.need(now());
-            if (tries < MAX_TRIES && tryPlace(entry)) {
-                waiting.remove(id);
-            } else if (StartRule.shouldRefuse(entry.prefillMillis(), need)) {
-                waiting.remove(id);
-                entry.listener().refused(retryAfterMillis(need));
-            }
-            tries++;
+        Set<String> services = backlog.services();
+        boolean again = backlog.runTurn(decisions);
+        services.forEach(service -> claims.turnEnded(service, backlog.firstUnplaced(service), now()));
+        if (backlog.size() > 0) {
+            scheduleTurn(again ? 1 : RETRY_MILLIS);
         }
-        if (!waiting.isEmpty()) {
-            scheduleTurn(RETRY_MILLIS);
+    }
+
+    /** Decides on the requests of a turn by the tracked jobs and the {@link StartRule}. */
+    private final class TurnDecisions implements Backlog.Decisions {
+        @Override
+        public Optional<WaitReason> tryPlace(WaitingRequest entry) {
+            return LocalScheduler.this.tryPlace(entry);
+        }
+
+        @Override
+        public boolean shouldRefuse(WaitingRequest entry) {
+            return StartRule.shouldRefuse(entry.prefillMillis(), entry.need(now()));
+        }
+
+        @Override
+        public void refuse(WaitingRequest entry, WaitReason reason) {
+            LocalScheduler.this.refuse(entry, reason);
         }
     }
 }
