--- a/daemon/src/main/java/org/endivehold/daemon/entry/EntryDaemon.java
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/EntryDaemon.java
@@ -107,8 +107,7 @@
         long startedAtMillis = System.currentTimeMillis();
         self = settings.name() + "#" + startedAtMillis;
         UniformRandomProvider random = RandomSource.SPLIT_MIX_64.create(startedAtMillis ^ self.hashCode());
-        DaemonEntry entry = new DaemonEntry(
-                self, settings.peers().host(), settings.peers().port(), settings.zone(), settings.capacity());
+        DaemonEntry entry = entry(self, settings);
         DaemonDirectory directory = new DaemonDirectory(entry);
         jobReplicator = new JobReplicator(ticker, self, this::sendToPeers);
         PeerMessageDispatcher dispatcher = new PeerMessageDispatcher(jobReplicator, health, ticker);
@@ -145,6 +144,7 @@
         orders.onAnswer(recorder);
         registration = new Registration(vertx, store, decoder.daemonPrefix(), entry, settings, mesh);
         PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+        store.onCallEnded(new StoreCallMetrics(registry));
         RelayBounds bounds = settings.bounds();
         HeldBodies bodies = HeldBodies.inHeap(Runtime.getRuntime().maxMemory());
         callers = new CallerServer(new RelayContext(
@@ -172,6 +172,11 @@
         status = new StatusServer(vertx, settings, headerCodec.readinessPath(), registry, fleet::complete);
     }
 
+    private static DaemonEntry entry(String name, RelaySettings settings) {
+        return new DaemonEntry(
+                name, settings.peers().host(), settings.peers().port(), settings.zone(), settings.capacity());
+    }
+
     /** Creates a Vert.x instance with the single event loop that a daemon runs on. */
     public static Vertx createVertx() {
         return Vertx.vertx(new VertxOptions()
--- a/daemon/src/test/java/org/endivehold/daemon/entry/TestFleet.java
+++ b/daemon/src/test/java/org/endivehold/daemon/entry/TestFleet.java
@@ -220,7 +220,8 @@
         await(outside.close());
     }
 
-    private static final class Decoder implements StoreDecoder {
+    /** Decodes the values of a test fleet's store. */
+    static final class Decoder implements StoreDecoder {
         @Override
         public String operatorPrefix() {
             return "operators/";
@@ -277,7 +278,8 @@
         }
     }
 
-    private static final class NoMemoryClient implements EngineMemoryClient {
+    /** Sends no orders. */
+    static final class NoMemoryClient implements EngineMemoryClient {
         @Override
         public Future<Void> reserve(Upstream engine, String reservation, long tokens, int holdMillis) {
             return Future.succeededFuture();
--- a/relay/src/main/java/org/endivehold/relay/state/SharedStore.java
+++ b/relay/src/main/java/org/endivehold/relay/state/SharedStore.java
@@ -50,6 +50,9 @@
      */
     record Changes(List<Change> changes, StorePosition position) {}
 
+    /** Sets the listener that is informed of each call that has ended; by default, calls are not reported. */
+    default void onCallEnded(StoreCallListener listener) {}
+
     /** Reads all items with a prefix. The result is not a snapshot: its position is that of the first page. */
     Future<Range> range(String prefix);
 
