Stale reads at the start of a daemon

Cause: a daemon that starts reads four ranges in full, and five of its calls only find what a watch or another daemon reports anyway. A read that may be stale costs a tenth.

Change: the first read of each watched prefix, the lists of daemons and the barred traits are read with stale_ok. Only an empty copy is filled in this way; a stale read does not count as a confirmation, and after STORE_HISTORY_GONE a full range is read. A coordinator confirms its stale copy with one watch that does not wait, so that the other daemons need not watch until its first watch ends.

--- a/daemon/src/main/java/org/endivehold/daemon/entry/BarredTraitStore.java
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/BarredTraitStore.java
@@ -68,7 +68,8 @@
     }
 
     /**
-     * Reads the barred traits, until that succeeds, and starts to write this daemon's own ones again.
+     * Reads the barred traits, which may be stale as other daemons report them too, until that succeeds, and starts to
+     * write this daemon's own ones again.
      *
      * @param evidence the evidence of the fleet, which this store keeps
      */
@@ -79,7 +80,7 @@
     }
 
     private void read() {
-        store.range(prefix)
+        store.staleRange(prefix)
                 .onSuccess(range -> range.items().forEach(this::merge))
                 .onFailure(failure -> vertx.setTimer(RETRY_DELAY_MILLIS, timer -> read()));
     }
--- a/daemon/src/main/java/org/endivehold/daemon/entry/Registration.java
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/Registration.java
@@ -133,8 +133,9 @@
         });
     }
 
+    /** Reads the list of daemons; it may be stale, since the daemons pass on what it lacks. */
     private void discoverDaemons() {
-        store.range(prefix)
+        store.staleRange(prefix)
                 .onSuccess(range -> mesh.addDaemons(range.items().stream()
                         .map(this::daemon)
                         .flatMap(Optional::stream)
--- a/daemon/src/test/java/org/endivehold/daemon/entry/CountedStore.java
+++ b/daemon/src/test/java/org/endivehold/daemon/entry/CountedStore.java
@@ -134,6 +134,11 @@
             return answer("range", () -> Future.succeededFuture(CountedStore.this.range(prefix)));
         }
 
+        @Override
+        public Future<Range> staleRange(String prefix) {
+            return answer("stale_range", () -> Future.succeededFuture(CountedStore.this.range(prefix)));
+        }
+
         @Override
         public Future<Changes> watch(String prefix, StorePosition after, int waitMillis) {
             return answer("watch", () -> CountedStore.this.watch(prefix, after.revision(), vertx, waitMillis));
--- a/daemon/src/test/java/org/endivehold/daemon/entry/StoreCallsTest.java
+++ b/daemon/src/test/java/org/endivehold/daemon/entry/StoreCallsTest.java
@@ -93,6 +93,7 @@
     @Test
     void aLargeFleetMakesFewCalls() throws Exception {
         store.write("operators/configuration", "1");
+        store.write("up/plain-0", "1");
         startFleet();
         callsDuring("start", START_MILLIS);
         callsDuring("calm", CALM_MILLIS);
--- a/relay/src/main/java/org/endivehold/relay/peer/CopyExchange.java
+++ b/relay/src/main/java/org/endivehold/relay/peer/CopyExchange.java
@@ -118,10 +118,16 @@
         if (isWatcher()) {
             for (WatchedPrefix copy : copies) {
                 if (copy.confirmed()) {
-                    mesh.broadcastInbound(new PeerMessage.CopyCurrent(
-                            copy.prefix(), copy.position(), copy.changedAt(), copy.sinceOutageMillis()));
+                    announceCurrent(copy);
+                } else {
+                    copy.confirmStaleRead().onSuccess(confirmed -> announceCurrent(copy));
                 }
             }
         }
     }
+
+    private void announceCurrent(WatchedPrefix copy) {
+        mesh.broadcastInbound(new PeerMessage.CopyCurrent(
+                copy.prefix(), copy.position(), copy.changedAt(), copy.sinceOutageMillis()));
+    }
 }
--- a/relay/src/main/java/org/endivehold/relay/state/SharedStore.java
+++ b/relay/src/main/java/org/endivehold/relay/state/SharedStore.java
@@ -56,6 +56,15 @@
     /** Reads all items with a prefix. The result is not a snapshot: its position is that of the first page. */
     Future<Range> range(String prefix);
 
+    /**
+     * Reads all items with a prefix as they were at a recent time, for a tenth of the costs. The position may be
+     * earlier than the read: a watch from it reports again all that the items lack. It is {@link StorePosition#NONE} if
+     * there are no items.
+     */
+    default Future<Range> staleRange(String prefix) {
+        return range(prefix);
+    }
+
     /**
      * Waits for changes after a point, for at most {@code waitMillis}; fails with {@code STORE_HISTORY_GONE} if the
      * store does not have that point, in particular after a restore. If a restored store has given out the same
--- a/relay/src/main/java/org/endivehold/relay/state/WatchedPrefix.java
+++ b/relay/src/main/java/org/endivehold/relay/state/WatchedPrefix.java
@@ -22,6 +22,9 @@
  * are missing in it were removed. The range is also read again after two failed calls in a row. Waits are short, so
  * that a dead connection is detected within seconds.
  *
+ * <p>The first read may be stale, which costs less: the watch from its position reports at once what it lacks. It is
+ * made only while the copy is empty, so that it never replaces anything newer, and does not count as a confirmation.
+ *
  * <p>During a store outage the copy remains in use, and newer copies of other daemons are accepted.
  *
  * <p>A store that was restored from an older copy rejects the watch, and the range is read anew in the new era. A store
@@ -64,6 +67,8 @@
 
     private BiConsumer<SharedStore.Changes, StorePosition> changeListener = (changes, after) -> {};
     private boolean rangeReadNeeded = true;
+    private boolean staleReadAllowed = true;
+    private boolean staleReadUnconfirmed;
     private int failures;
     private double outageSince = -1;
     private double outageEndedAt = Double.NEGATIVE_INFINITY;
@@ -130,6 +135,23 @@
         return failures == 0 && ticker.millis() - confirmedAt <= WATCH_WAIT_MILLIS + WATCH_ANSWER_MARGIN_MILLIS;
     }
 
+    /**
+     * Confirms a stale first read by a watch call that does not wait, beside the watch in progress. A daemon that
+     * watches for others calls this; otherwise all of them would watch until its own first watch is answered.
+     *
+     * @return completes when the copy is confirmed; fails if it needs no confirmation or the store does not answer
+     */
+    public Future<Void> confirmStaleRead() {
+        if (!staleReadUnconfirmed || closed) {
+            return Future.failedFuture("nothing to confirm");
+        }
+        staleReadUnconfirmed = false;
+        return store.watch(prefix, position(), CATCH_UP_WAIT_MILLIS).map(changes -> {
+            apply(changes);
+            return null;
+        });
+    }
+
     /** Returns the duration of the current store outage, in milliseconds; 0 if there is none. */
     public double outageMillis() {
         return outageSince < 0 ? 0 : ticker.millis() - outageSince;
@@ -219,13 +241,21 @@
         if (confirmedMillis > 0 && isFilled()) {
             vertx.setTimer((long) confirmedMillis + 1, timer -> startNextCall());
         } else if (rangeReadNeeded) {
-            call(() -> store.range(prefix), this::rangeRead);
+            readRange();
         } else {
             int waitMillis = failures > 0 ? CATCH_UP_WAIT_MILLIS : WATCH_WAIT_MILLIS;
             call(() -> store.watch(prefix, position(), waitMillis), this::apply);
         }
     }
 
+    private void readRange() {
+        if (staleReadAllowed && !isFilled()) {
+            call(() -> store.staleRange(prefix), this::staleRangeRead);
+        } else {
+            call(() -> store.range(prefix), this::rangeRead);
+        }
+    }
+
     /**
      * Makes a call and handles its answer. Another call follows in any case, since nothing else would start one: also
      * if the call cannot be made or its answer cannot be handled.
@@ -235,7 +265,7 @@
                 .compose(ignored -> call.get())
                 .onFailure(this::failed)
                 .onSuccess(answer -> {
-                    storeAnswered();
+                    answered("store");
                     Future.succeededFuture(answer)
                             .map(received -> {
                                 onAnswer.accept(received);
@@ -257,18 +287,24 @@
         vertx.setTimer(MAX_BACKOFF_MILLIS, timer -> startNextCall());
     }
 
+    /** A stale read without items has no position to watch from. */
+    private void staleRangeRead(SharedStore.Range range) {
+        staleReadAllowed = false;
+        if (!isFilled() && !range.items().isEmpty()) {
+            rangeReadNeeded = false;
+            staleReadUnconfirmed = true;
+            replace(range);
+        }
+    }
+
     private void rangeRead(SharedStore.Range range) {
+        confirmedByStore();
         rangeReadNeeded = false;
         if (!position().isAfter(range.position())) {
             replace(range);
         }
     }
 
-    private void storeAnswered() {
-        confirmedAt = ticker.millis();
-        answered("store");
-    }
-
     /** Ends the outage, if there is one: the store has answered this daemon or a daemon that confirmed its copy. */
     private void answered(String from) {
         failures = 0;
@@ -291,6 +327,7 @@
                     .with("revision", position().revision())
                     .info(log);
             rangeReadNeeded = true;
+            staleReadAllowed = false;
             startNextCall();
             return;
         }
@@ -323,6 +360,7 @@
     }
 
     private void apply(SharedStore.Changes changes) {
+        confirmedByStore();
         StorePosition before = copy.changedAt();
         copy.apply(changes);
         listener.current(this);
@@ -331,6 +369,11 @@
         }
     }
 
+    private void confirmedByStore() {
+        confirmedAt = ticker.millis();
+        staleReadUnconfirmed = false;
+    }
+
     private boolean isFilled() {
         return position().isAfter(StorePosition.NONE);
     }
--- a/relay/src/test/java/org/endivehold/relay/state/FakeStore.java
+++ b/relay/src/test/java/org/endivehold/relay/state/FakeStore.java
@@ -20,6 +20,7 @@
     private long compactedRevision;
     private boolean down;
     private int ranges;
+    private Optional<Range> staleState = Optional.empty();
 
     private record Waiting(String prefix, StorePosition after, Promise<Changes> promise) {}
 
@@ -88,6 +89,11 @@
         all.forEach(each -> each.promise().fail(new EndiveholdException(type, each.after())));
     }
 
+    /** Answers stale reads with the items as of now. */
+    void holdStaleState() {
+        staleState = Optional.of(new Range(List.copyOf(items.values()), position()));
+    }
+
     int ranges() {
         return ranges;
     }
@@ -146,6 +152,14 @@
         return Future.succeededFuture(new Range(found, position()));
     }
 
+    @Override
+    public Future<Range> staleRange(String prefix) {
+        if (down || staleState.isEmpty()) {
+            return range(prefix);
+        }
+        return Future.succeededFuture(staleState.get());
+    }
+
     @Override
     public Future<Changes> watch(String prefix, StorePosition after, int waitMillis) {
         if (down) {
--- a/relay/src/test/java/org/endivehold/relay/state/WatchedPrefixTest.java
+++ b/relay/src/test/java/org/endivehold/relay/state/WatchedPrefixTest.java
@@ -87,6 +87,48 @@
         assertEquals(1, store.ranges());
     }
 
+    /** A daemon that starts reads a state before the last changes; they are not missed. */
+    @Test
+    void theWatchCorrectsAStaleFirstRead() throws Exception {
+        store.write("s/a", "1");
+        store.write("s/b", "1");
+        store.holdStaleState();
+        store.remove("s/a");
+        store.write("s/b", "2");
+        run(copy::start);
+        assertEquals(List.of("+s/a=1", "+s/b=1"), take(2).stream().sorted().toList());
+        assertEquals(List.of("-s/a", "+s/b=2"), take(2));
+        assertEquals(0, store.ranges());
+    }
+
+    /** The state that was read is older than the store's history: the copy would never be current. */
+    @Test
+    void readsAFreshRangeIfTheHistoryAfterAStaleReadIsGone() throws Exception {
+        store.write("s/a", "1");
+        store.holdStaleState();
+        store.write("s/a", "2");
+        store.compact();
+        run(copy::start);
+        assertEquals(List.of("+s/a=1", "+s/a=2"), take(2));
+        assertEquals(1, store.ranges());
+    }
+
+    /** A stale read put a removed item back although another daemon had supplied a newer copy before. */
+    @Test
+    void aStaleReadDoesNotReplaceANewerCopy() throws Exception {
+        store.write("s/a", "1");
+        store.holdStaleState();
+        store.remove("s/a");
+        store.write("s/c", "3");
+        SharedStore.Item item = new SharedStore.Item("s/c", Buffer.buffer("3"), store.position());
+        run(() -> {
+            copy.replaceIfNewer(new SharedStore.Range(List.of(item), store.position()), "peer");
+            copy.start();
+        });
+        run(() -> store.write("s/d", "4"));
+        assertEquals(List.of("+s/c=3", "+s/d=4"), take(2));
+    }
+
     @Test
     void readsTheRangeAgainWhenTheHistoryIsGone() throws Exception {
         store.write("s/a", "1");
