Watches wait for most of the stable window

Cause: a watch waited 1.4 s, so that a silent connection was noticed within 2 s. Deployments allow the stable window (bounds.stable_window_ms, 3,000 ms and more) for that.

Change: a watch waits for the stable window less 600 ms, the adapter's timeout after the wait, and less a random fifth, so that watches do not stay in step. confirmed() and with it the announcements of coordinators follow the wait. If the connections of all coordinators go silent and stay so, they announce for at most the wait and 500 ms after the last answer (2,900 ms by default), and the other daemons watch by themselves 1,600 ms later, within the window and config_apply_ms.

--- a/daemon/src/main/java/org/endivehold/daemon/entry/EntryDaemon.java
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/EntryDaemon.java
@@ -116,8 +116,8 @@
         UpstreamRateLimits rateLimits = new UpstreamRateLimits(daemons);
         availability = new UpstreamAvailability(health, rateLimits);
         fleet = new FleetState(decoder, ticker, availability, copyAges());
-        operatorEntries = new WatchedPrefix(vertx, store, decoder.operatorPrefix(), ticker, random, fleet);
-        upstreamEntries = new WatchedPrefix(vertx, store, decoder.upstreamPrefix(), ticker, random, fleet);
+        operatorEntries = copy(store, decoder.operatorPrefix(), random);
+        upstreamEntries = copy(store, decoder.upstreamPrefix(), random);
         copyExchange = new CopyExchange(directory, List.of(operatorEntries, upstreamEntries), mesh);
         LocalScheduler local =
                 new LocalScheduler(vertx, ticker, random, fleet, health, jobReplicator, new EngineDivision(daemons));
@@ -177,6 +177,11 @@
                 name, settings.peers().host(), settings.peers().port(), settings.zone(), settings.capacity());
     }
 
+    private WatchedPrefix copy(SharedStore store, String prefix, UniformRandomProvider random) {
+        int windowMillis = settings.bounds().stableWindowMillis();
+        return new WatchedPrefix(vertx, store, prefix, ticker, random, fleet, windowMillis);
+    }
+
     /** Creates a Vert.x instance with the single event loop that a daemon runs on. */
     public static Vertx createVertx() {
         return Vertx.vertx(new VertxOptions()
--- a/daemon/src/test/java/org/endivehold/daemon/entry/StoreCallsTest.java
+++ b/daemon/src/test/java/org/endivehold/daemon/entry/StoreCallsTest.java
@@ -67,7 +67,7 @@
                 peers.subList(0, ZONES),
                 local(1),
                 1_000,
-                new RelayBounds(4_000, 1, 5, 0.2, 100, 10_000));
+                new RelayBounds(4_000, 1, 5, 0.2, 100, 10_000, 3_000));
         Vertx vertx = EntryDaemon.createVertx();
         loops.add(vertx);
         return new EntryDaemon(
--- a/daemon/src/test/java/org/endivehold/daemon/entry/TestFleet.java
+++ b/daemon/src/test/java/org/endivehold/daemon/entry/TestFleet.java
@@ -113,7 +113,7 @@
                 seeds,
                 local(1),
                 1_000,
-                new RelayBounds(4_000, 1, 5, 0.2, 100, 10_000));
+                new RelayBounds(4_000, 1, 5, 0.2, 100, 10_000, 3_000));
         Vertx vertx = EntryDaemon.createVertx();
         InMemoryStore store = new InMemoryStore(
                 vertx, items, key -> Optional.ofNullable(links.get(key.substring(key.indexOf('/') + 1)))
--- a/relay/src/main/java/org/endivehold/relay/serve/RelayBounds.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/RelayBounds.java
@@ -9,6 +9,7 @@
  * @param retryRatio retries allowed per request
  * @param retrySlack retries that all daemons together may make in a window beyond that ratio
  * @param retryWindowMillis length of the window for retries, in milliseconds
+ * @param stableWindowMillis time after connections went silent within which that has to be noticed, in milliseconds
  */
 public record RelayBounds(
         long graceMillis,
@@ -16,4 +17,5 @@
         double coldSlack,
         double retryRatio,
         double retrySlack,
-        double retryWindowMillis) {}
+        double retryWindowMillis,
+        int stableWindowMillis) {}
--- a/relay/src/main/java/org/endivehold/relay/state/WatchedPrefix.java
+++ b/relay/src/main/java/org/endivehold/relay/state/WatchedPrefix.java
@@ -19,8 +19,8 @@
  * <p>The copy starts with a read of the whole range and continues with watches from the position of its first page. The
  * pages are not a snapshot, but changes made between them are reported again by the watch, and a change replaces an
  * item only if it is later. If the store no longer has the history, the range is read again and compared: items that
- * are missing in it were removed. The range is also read again after two failed calls in a row. Waits are short, so
- * that a dead connection is detected within seconds.
+ * are missing in it were removed. The range is also read again after two failed calls in a row. A watch waits as long
+ * as a dead connection is still detected within the stable window of the deployment.
  *
  * <p>The first read may be stale, which costs less: the watch from its position reports at once what it lacks. It is
  * made only while the copy is empty, so that it never replaces anything newer, and does not count as a confirmation.
@@ -39,11 +39,20 @@
  * the position of its copy.
  */
 public final class WatchedPrefix {
+    /** Time within which a connection that delivers nothing is detected by default, in milliseconds. */
+    private static final int DEFAULT_STABLE_WINDOW_MILLIS = 3_000;
     /**
-     * Longest wait of one watch call, in milliseconds. A connection that delivers nothing any more is detected when the
-     * wait and the timeout after it are over, which has to be sooner than operators expect a host to be current again.
+     * Time from the end of a watch's wait until a connection that delivers nothing is given up, in milliseconds: the
+     * adapter's timeout. A watch waits for the rest of the stable window.
      */
-    static final int WATCH_WAIT_MILLIS = 1_400;
+    private static final int DETECTION_MILLIS = 600;
+    /** Shortest wait of a watch call, in milliseconds, whatever the stable window. */
+    private static final int MIN_WATCH_WAIT_MILLIS = 400;
+    /**
+     * Part of the wait, as its divisor, by which waits differ at random. Otherwise the watches of all daemons end
+     * together after each change; a restore that only the answer of a watch shows is noticed sooner if they do not.
+     */
+    private static final int WAIT_SPREAD = 5;
     /** Wait of the first watch call after a failed call, in milliseconds. */
     static final int CATCH_UP_WAIT_MILLIS = 1;
     /** Time after the wait by which an answer is expected, in milliseconds; the adapter's timeout is longer. */
@@ -64,6 +73,8 @@
     private final UniformRandomProvider random;
     private final ItemListener listener;
     private final PrefixCopy copy;
+    /** Longest wait of one watch call, in milliseconds. */
+    private final int watchWaitMillis;
 
     private BiConsumer<SharedStore.Changes, StorePosition> changeListener = (changes, after) -> {};
     private boolean rangeReadNeeded = true;
@@ -78,7 +89,7 @@
     private double peerConfirmedUntil = Double.NEGATIVE_INFINITY;
     private boolean closed;
 
-    /** Creates an empty copy; {@link #start} begins to fill it and reports each item to {@code listener}. */
+    /** Creates an empty copy as below, with a stable window of {@value #DEFAULT_STABLE_WINDOW_MILLIS} ms. */
     public WatchedPrefix(
             Vertx vertx,
             SharedStore store,
@@ -86,6 +97,28 @@
             Ticker ticker,
             UniformRandomProvider random,
             ItemListener listener) {
+        this(vertx, store, prefix, ticker, random, listener, DEFAULT_STABLE_WINDOW_MILLIS);
+    }
+
+    /**
+     * Creates an empty copy; {@link #start} begins to fill it and reports each item to {@code listener}.
+     *
+     * @param vertx runs the timers
+     * @param store the store
+     * @param prefix prefix of the keys of the items
+     * @param ticker the clock
+     * @param random spreads waits and delays
+     * @param listener is told of each change of the copy
+     * @param stableWindowMillis time within which a connection that delivers nothing has to be detected
+     */
+    public WatchedPrefix(
+            Vertx vertx,
+            SharedStore store,
+            String prefix,
+            Ticker ticker,
+            UniformRandomProvider random,
+            ItemListener listener,
+            int stableWindowMillis) {
         this.vertx = vertx;
         this.store = store;
         this.prefix = prefix;
@@ -93,6 +126,7 @@
         this.random = random;
         this.listener = listener;
         this.copy = new PrefixCopy(listener);
+        this.watchWaitMillis = Math.max(MIN_WATCH_WAIT_MILLIS, stableWindowMillis - DETECTION_MILLIS);
     }
 
     /** Sets the listener for changes reported by the store; it gets the point after which they are complete. */
@@ -132,7 +166,7 @@
 
     /** Returns whether the store itself confirmed the copy within the duration of one watch call. */
     public boolean confirmed() {
-        return failures == 0 && ticker.millis() - confirmedAt <= WATCH_WAIT_MILLIS + WATCH_ANSWER_MARGIN_MILLIS;
+        return failures == 0 && ticker.millis() - confirmedAt <= watchWaitMillis + WATCH_ANSWER_MARGIN_MILLIS;
     }
 
     /**
@@ -243,11 +277,14 @@
         } else if (rangeReadNeeded) {
             readRange();
         } else {
-            int waitMillis = failures > 0 ? CATCH_UP_WAIT_MILLIS : WATCH_WAIT_MILLIS;
-            call(() -> store.watch(prefix, position(), waitMillis), this::apply);
+            call(() -> store.watch(prefix, position(), waitMillis()), this::apply);
         }
     }
 
+    private int waitMillis() {
+        return failures > 0 ? CATCH_UP_WAIT_MILLIS : watchWaitMillis - random.nextInt(watchWaitMillis / WAIT_SPREAD);
+    }
+
     private void readRange() {
         if (staleReadAllowed && !isFilled()) {
             call(() -> store.staleRange(prefix), this::staleRangeRead);
--- a/relay/src/test/java/org/endivehold/relay/serve/RelayFixture.java
+++ b/relay/src/test/java/org/endivehold/relay/serve/RelayFixture.java
@@ -110,7 +110,7 @@
             }
         };
         DaemonCount onlyDaemon = KnownDaemons.only("d");
-        RelayBounds bounds = new RelayBounds(4_000, 1, 1, 1, 100, 10_000);
+        RelayBounds bounds = new RelayBounds(4_000, 1, 1, 1, 100, 10_000, 3_000);
         UniformRandomProvider random = RandomSource.SPLIT_MIX_64.create(1);
         JobReplicator work = new JobReplicator(ticker, "d", message -> {});
         UpstreamHealth health = new UpstreamHealth();
--- a/relay/src/test/java/org/endivehold/relay/state/FakeStore.java
+++ b/relay/src/test/java/org/endivehold/relay/state/FakeStore.java
@@ -20,6 +20,7 @@
     private long compactedRevision;
     private boolean down;
     private int ranges;
+    private int lastWaitMillis;
     private Optional<Range> staleState = Optional.empty();
 
     private record Waiting(String prefix, StorePosition after, Promise<Changes> promise) {}
@@ -98,6 +99,11 @@
         return ranges;
     }
 
+    /** Returns the wait of the last watch call, in milliseconds. */
+    int lastWaitMillis() {
+        return lastWaitMillis;
+    }
+
     /** Returns the number of waiting watches. */
     int watches() {
         return waiting.size();
@@ -162,6 +168,7 @@
 
     @Override
     public Future<Changes> watch(String prefix, StorePosition after, int waitMillis) {
+        lastWaitMillis = waitMillis;
         if (down) {
             return unavailable();
         }
--- a/relay/src/test/java/org/endivehold/relay/state/WatchedPrefixTest.java
+++ b/relay/src/test/java/org/endivehold/relay/state/WatchedPrefixTest.java
@@ -25,6 +25,8 @@
 
 class WatchedPrefixTest {
     private static final int LIMIT_SECONDS = 10;
+    /** Time from the end of a watch's wait until the adapter gives the connection up, in milliseconds. */
+    private static final int ADAPTER_TIMEOUT_MILLIS = 600;
 
     private final Vertx vertx = Vertx.vertx();
     private final Context loop = vertx.getOrCreateContext();
@@ -33,24 +35,29 @@
     /** What the listener does before it handles an item, by key, or a new copy. */
     private final Map<String, Runnable> failures = new ConcurrentHashMap<>();
 
-    private final WatchedPrefix copy = new WatchedPrefix(
-            vertx, store, "s/", Ticker.system(), RandomSource.SPLIT_MIX_64.create(1), new ItemListener() {
-                @Override
-                public void written(SharedStore.Item item) {
-                    failures.getOrDefault(item.key(), () -> {}).run();
-                    events.add("+" + item.key() + "=" + item.value());
-                }
-
-                @Override
-                public void removed(String key) {
-                    events.add("-" + key);
-                }
-
-                @Override
-                public void current(WatchedPrefix copy) {
-                    failures.getOrDefault("current", () -> {}).run();
-                }
-            });
+    private final ItemListener listener = new ItemListener() {
+        @Override
+        public void written(SharedStore.Item item) {
+            failures.getOrDefault(item.key(), () -> {}).run();
+            events.add("+" + item.key() + "=" + item.value());
+        }
+
+        @Override
+        public void removed(String key) {
+            events.add("-" + key);
+        }
+
+        @Override
+        public void current(WatchedPrefix copy) {
+            failures.getOrDefault("current", () -> {}).run();
+        }
+    };
+    private final WatchedPrefix copy = copy(3_000);
+
+    private WatchedPrefix copy(int stableWindowMillis) {
+        return new WatchedPrefix(
+                vertx, store, "s/", Ticker.system(), RandomSource.SPLIT_MIX_64.create(1), listener, stableWindowMillis);
+    }
 
     @AfterEach
     void close() throws Exception {
@@ -87,6 +94,21 @@
         assertEquals(1, store.ranges());
     }
 
+    /** A connection that delivers nothing was noticed after the stable window, or watches were repeated too often. */
+    @ParameterizedTest
+    @ValueSource(ints = {3_000, 4_000, 5_000})
+    void aWatchAndItsTimeoutTakeMostOfTheStableWindow(int windowMillis) throws Exception {
+        store.write("s/a", "1");
+        WatchedPrefix watched = copy(windowMillis);
+        run(watched::start);
+        take(1);
+        for (int i = 0; i < 20; i++) {
+            run(store::completeWatches);
+            int noticedMillis = store.lastWaitMillis() + ADAPTER_TIMEOUT_MILLIS;
+            assertTrue(noticedMillis <= windowMillis && noticedMillis >= 0.8 * windowMillis, () -> "" + noticedMillis);
+        }
+    }
+
     /** A daemon that starts reads a state before the last changes; they are not missed. */
     @Test
     void theWatchCorrectsAStaleFirstRead() throws Exception {
