Two of three coordinators watch the store

Cause: all three coordinators of a large fleet watched both prefixes, although one watch reports every change.

Change: the first two coordinators watch; the third relies on their announcements as any other daemon does. The first two rely on nobody and the third only on these, so that no two daemons rely on each other. A coordinator that begins to watch confirms its copy with one call that does not wait. Small fleets are as before.

--- a/relay/src/main/java/org/endivehold/relay/peer/CopyExchange.java
+++ b/relay/src/main/java/org/endivehold/relay/peer/CopyExchange.java
@@ -11,11 +11,12 @@
  * Distributes copies of the store's items between daemons.
  *
  * <p>Store calls are expensive, and if every daemon watched the store, the number of watches would equal the number of
- * daemons. In a large fleet only the coordinators watch ({@link DaemonDirectory}). They forward each change at once and
- * announce periodically that their copies are current, as long as the store confirms it. The other daemons make no
- * store calls while they receive these announcements. Correctness does not depend on which daemons watch: a daemon that
- * misses two announcements starts its own watch, and changes are ordered by position, regardless of the sender.
- * Example: 60 daemons with two prefixes make 6 watch calls every 1.4 s instead of 120.
+ * daemons. In a large fleet only the first two coordinators watch ({@link DaemonDirectory}). They forward each change
+ * at once and announce periodically that their copies are current, as long as the store confirms it. The other daemons
+ * make no store calls while they receive these announcements. Correctness does not depend on which daemons watch: a
+ * daemon that misses two announcements starts its own watch, and changes are ordered by position, regardless of the
+ * sender. If it is the third coordinator, it announces its copies as well. Example: 60 daemons with two prefixes make 4
+ * watch calls every 2.4 s instead of 120.
  *
  * <p>A daemon that cannot reach the store requests newer copies from other daemons.
  */
@@ -78,9 +79,8 @@
         return true;
     }
 
-    /** Relies on the sender's watch. Watchers do not rely on each other: then none of them would call the store. */
     private void confirm(String daemon, PeerMessage.CopyCurrent theirs) {
-        if (!isWatcher()) {
+        if (reliesOn(daemon)) {
             copy(theirs.prefix())
                     .filter(mine ->
                             !mine.confirmByPeer(theirs.position(), theirs.changedAt(), theirs.sinceOutageMillis()))
@@ -103,24 +103,37 @@
         mesh.send(daemon, new PeerMessage.CopyRequest(mine.prefix(), mine.position()));
     }
 
-    /** Returns whether this daemon watches the store for others: it is a coordinator of a large fleet. */
-    private boolean isWatcher() {
+    /**
+     * Returns whether this daemon relies on the watch of another one. The first watchers rely on none and the other
+     * coordinators only on these, so that no two daemons rely on each other and none of them calls the store.
+     */
+    private boolean reliesOn(String daemon) {
+        if (!isCoordinator()) {
+            return true;
+        }
+        List<DaemonEntry> watchers = directory.storeWatchers();
+        return !watchers.contains(directory.self())
+                && watchers.stream().anyMatch(watcher -> watcher.name().equals(daemon));
+    }
+
+    /** Returns whether this daemon announces its copies to others if it watches the store. */
+    private boolean isCoordinator() {
         return !directory.usesFullMesh() && directory.coordinators().contains(directory.self());
     }
 
     private void forwardChanges(WatchedPrefix copy, SharedStore.Changes changes, StorePosition after) {
-        if (isWatcher()) {
+        if (isCoordinator()) {
             mesh.broadcastInbound(new PeerMessage.CopyChanged(copy.prefix(), after, changes));
         }
     }
 
     private void announceCurrent() {
-        if (isWatcher()) {
+        if (isCoordinator()) {
             for (WatchedPrefix copy : copies) {
                 if (copy.confirmed()) {
                     announceCurrent(copy);
                 } else {
-                    copy.confirmStaleRead().onSuccess(confirmed -> announceCurrent(copy));
+                    copy.confirmNow().onSuccess(confirmed -> announceCurrent(copy));
                 }
             }
         }
--- a/relay/src/main/java/org/endivehold/relay/peer/DaemonDirectory.java
+++ b/relay/src/main/java/org/endivehold/relay/peer/DaemonDirectory.java
@@ -28,6 +28,10 @@
     static final int MAX_FULL_MESH_SIZE = 9;
     /** Coordinators of a large fleet: one that places requests, and two for failover. */
     static final int COORDINATORS = 3;
+    /**
+     * Coordinators that watch the store for all: one of them may be lost without any other daemon calling the store.
+     */
+    static final int STORE_WATCHERS = 2;
     /** Time after which a daemon that was not seen is removed from the directory, in milliseconds. */
     static final long EXPIRY_MILLIS = 30_000;
     /** Interval at which the member list is sent to connected daemons, in milliseconds; two of them may be lost. */
@@ -150,6 +154,15 @@
         return usesFullMesh() ? all : spreadOverZones(all);
     }
 
+    /**
+     * Returns the coordinators that watch the store as long as they are well. The other coordinators watch it when
+     * these announce nothing any more.
+     */
+    public List<DaemonEntry> storeWatchers() {
+        List<DaemonEntry> coordinators = coordinators();
+        return coordinators.subList(0, Math.min(STORE_WATCHERS, coordinators.size()));
+    }
+
     private static int rank(DaemonEntry entry) {
         // The key is hashed: all daemons must use the same one to compute the same order.
         return RendezvousHash.rank(entry.name(), "account");
--- a/relay/src/main/java/org/endivehold/relay/state/WatchedPrefix.java
+++ b/relay/src/main/java/org/endivehold/relay/state/WatchedPrefix.java
@@ -79,12 +79,12 @@
     private BiConsumer<SharedStore.Changes, StorePosition> changeListener = (changes, after) -> {};
     private boolean rangeReadNeeded = true;
     private boolean staleReadAllowed = true;
-    private boolean staleReadUnconfirmed;
     private int failures;
     private double outageSince = -1;
     private double outageEndedAt = Double.NEGATIVE_INFINITY;
     private double restoredAt = Double.NEGATIVE_INFINITY;
     private double confirmedAt = Double.NEGATIVE_INFINITY;
+    private double confirmCallAt = Double.NEGATIVE_INFINITY;
     private double heardAt = Double.NEGATIVE_INFINITY;
     private double peerConfirmedUntil = Double.NEGATIVE_INFINITY;
     private boolean closed;
@@ -164,28 +164,38 @@
         return copy.items();
     }
 
-    /** Returns whether the store itself confirmed the copy within the duration of one watch call. */
+    /**
+     * Returns whether this daemon watches the store, which confirmed the copy within the duration of one watch call.
+     */
     public boolean confirmed() {
-        return failures == 0 && ticker.millis() - confirmedAt <= watchWaitMillis + WATCH_ANSWER_MARGIN_MILLIS;
+        return failures == 0
+                && !reliesOnPeer()
+                && ticker.millis() - confirmedAt <= watchWaitMillis + WATCH_ANSWER_MARGIN_MILLIS;
     }
 
     /**
-     * Confirms a stale first read by a watch call that does not wait, beside the watch in progress. A daemon that
-     * watches for others calls this; otherwise all of them would watch until its own first watch is answered.
+     * Confirms the copy by a watch call that does not wait, beside the watch in progress. A daemon that begins to watch
+     * for others calls this; otherwise all of them would watch until its own first watch is answered.
      *
-     * @return completes when the copy is confirmed; fails if it needs no confirmation or the store does not answer
+     * @return completes when the copy is confirmed; fails if the store does not answer, or if no call is made: another
+     *     daemon watches, or such a call was made within the wait of a watch
      */
-    public Future<Void> confirmStaleRead() {
-        if (!staleReadUnconfirmed || closed) {
-            return Future.failedFuture("nothing to confirm");
+    public Future<Void> confirmNow() {
+        double now = ticker.millis();
+        if (closed || !isFilled() || failures > 0 || reliesOnPeer() || now - confirmCallAt < watchWaitMillis) {
+            return Future.failedFuture("no call is due");
         }
-        staleReadUnconfirmed = false;
+        confirmCallAt = now;
         return store.watch(prefix, position(), CATCH_UP_WAIT_MILLIS).map(changes -> {
             apply(changes);
             return null;
         });
     }
 
+    private boolean reliesOnPeer() {
+        return peerConfirmedUntil > ticker.millis();
+    }
+
     /** Returns the duration of the current store outage, in milliseconds; 0 if there is none. */
     public double outageMillis() {
         return outageSince < 0 ? 0 : ticker.millis() - outageSince;
@@ -329,13 +339,12 @@
         staleReadAllowed = false;
         if (!isFilled() && !range.items().isEmpty()) {
             rangeReadNeeded = false;
-            staleReadUnconfirmed = true;
             replace(range);
         }
     }
 
     private void rangeRead(SharedStore.Range range) {
-        confirmedByStore();
+        confirmedAt = ticker.millis();
         rangeReadNeeded = false;
         if (!position().isAfter(range.position())) {
             replace(range);
@@ -397,7 +406,7 @@
     }
 
     private void apply(SharedStore.Changes changes) {
-        confirmedByStore();
+        confirmedAt = ticker.millis();
         StorePosition before = copy.changedAt();
         copy.apply(changes);
         listener.current(this);
@@ -406,11 +415,6 @@
         }
     }
 
-    private void confirmedByStore() {
-        confirmedAt = ticker.millis();
-        staleReadUnconfirmed = false;
-    }
-
     private boolean isFilled() {
         return position().isAfter(StorePosition.NONE);
     }
