Fewer store calls while coordinators report an outage

Cause: in an outage each daemon of a large fleet tried both prefixes several times a second, although the coordinators knew that the store was out, and read the ranges again after two failures although other daemons had confirmed its copies.

Change: a coordinator without answers from the store says so in its answers to pings, behind the messages of the frame (FrameExtensions), where the previous version ignores it. A daemon that hears it waits 500 to 1,500 ms after a failed call; coordinators ignore it. The copy of the operators' entries finds out for the one of the upstreams whether the store is back. The need for a range after failures ends when another daemon confirms the copy.

--- a/daemon/src/main/java/org/endivehold/daemon/entry/PeerMessageDispatcher.java
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/PeerMessageDispatcher.java
@@ -144,6 +144,11 @@
         return messages;
     }
 
+    @Override
+    public PeerMessage.Ping pingAnswer() {
+        return copies.pingAnswer();
+    }
+
     @Override
     public Optional<PeerMessage.Copy> copy(String prefix, StorePosition newerThan) {
         return copies.copy(prefix, newerThan);
--- a/relay/src/main/java/org/endivehold/relay/peer/CopyExchange.java
+++ b/relay/src/main/java/org/endivehold/relay/peer/CopyExchange.java
@@ -42,6 +42,7 @@
         this.directory = directory;
         this.copies = copies;
         this.mesh = mesh;
+        copies.stream().skip(1).forEach(copy -> copy.tryAfter(copies.get(0)));
         for (WatchedPrefix copy : copies) {
             copy.onChanges((changes, after) -> forwardChanges(copy, changes, after));
         }
@@ -73,12 +74,26 @@
             copy(theirs.prefix())
                     .filter(mine -> !mine.applyFromPeer(theirs.changes(), theirs.after()))
                     .ifPresent(mine -> requestCopy(daemon, mine));
+        } else if (message instanceof PeerMessage.Ping theirs) {
+            storeState(theirs);
         } else {
             return false;
         }
         return true;
     }
 
+    /** Coordinators do not rely on each other's reports: the others wait for them to find that the store is back. */
+    private void storeState(PeerMessage.Ping theirs) {
+        if (theirs.storeUnavailable() && !directory.usesFullMesh() && !isCoordinator()) {
+            copies.forEach(WatchedPrefix::reportUnavailable);
+        }
+    }
+
+    /** Returns the answer to a ping, in which a coordinator says that it gets no answers from the store. */
+    public PeerMessage.Ping pingAnswer() {
+        return new PeerMessage.Ping(isCoordinator() && copies.stream().anyMatch(copy -> copy.outageMillis() > 0));
+    }
+
     private void confirm(String daemon, PeerMessage.CopyCurrent theirs) {
         if (reliesOn(daemon)) {
             copy(theirs.prefix())
--- a/relay/src/main/java/org/endivehold/relay/peer/FrameExtensions.java
+++ b/relay/src/main/java/org/endivehold/relay/peer/FrameExtensions.java
@@ -19,6 +19,8 @@
  */
 final class FrameExtensions {
     private static final int TRAFFIC_CLASS = 1;
+    /** In a {@code Ping}, without fields: the sender gets no answers from the store. */
+    private static final int STORE_UNAVAILABLE = 2;
 
     private FrameExtensions() {}
 
@@ -26,7 +28,7 @@
     static void pack(MessagePacker packer, List<PeerMessage> messages) throws IOException {
         List<Integer> extended = new ArrayList<>();
         for (int i = 0; i < messages.size(); i++) {
-            if (!traffic(messages.get(i)).equals(TrafficClass.DEFAULT)) {
+            if (isExtended(messages.get(i))) {
                 extended.add(i);
             }
         }
@@ -35,8 +37,9 @@
         }
         packer.packArrayHeader(extended.size());
         for (int index : extended) {
-            packer.packInt(TRAFFIC_CLASS).packInt(index);
-            byte[] fields = encode(traffic(messages.get(index)));
+            boolean ping = messages.get(index) instanceof PeerMessage.Ping;
+            packer.packInt(ping ? STORE_UNAVAILABLE : TRAFFIC_CLASS).packInt(index);
+            byte[] fields = ping ? new byte[0] : encode(traffic(messages.get(index)));
             packer.packBinaryHeader(fields.length).writePayload(fields);
         }
     }
@@ -51,12 +54,23 @@
             int kind = unpacker.unpackInt();
             int index = unpacker.unpackInt();
             byte[] fields = unpacker.readPayload(unpacker.unpackBinaryHeader());
-            if (kind == TRAFFIC_CLASS && index >= 0 && index < messages.size()) {
+            if (index < 0 || index >= messages.size()) {
+                continue;
+            }
+            if (kind == TRAFFIC_CLASS) {
                 messages.set(index, extend(messages.get(index), decode(fields)));
+            } else if (kind == STORE_UNAVAILABLE && messages.get(index) instanceof PeerMessage.Ping) {
+                messages.set(index, new PeerMessage.Ping(true));
             }
         }
     }
 
+    private static boolean isExtended(PeerMessage message) {
+        return message instanceof PeerMessage.Ping ping
+                ? ping.storeUnavailable()
+                : !traffic(message).equals(TrafficClass.DEFAULT);
+    }
+
     private static TrafficClass traffic(PeerMessage message) {
         if (message instanceof PeerMessage.PlacementRequest request) {
             return request.request().need().traffic();
--- a/relay/src/main/java/org/endivehold/relay/peer/InboundPeer.java
+++ b/relay/src/main/java/org/endivehold/relay/peer/InboundPeer.java
@@ -73,9 +73,9 @@
         } else if (message instanceof PeerMessage.ForwardOffer offer && daemon.isEmpty()) {
             vertx.cancelTimer(watchdog);
             listener.onForwardOffer(offer, new PeerStream(socket));
-        } else if (message instanceof PeerMessage.Ping ping) {
+        } else if (message instanceof PeerMessage.Ping) {
             mesh.peerAlive(daemon);
-            send(List.of(ping));
+            send(List.of(listener.pingAnswer()));
         } else if (message instanceof PeerMessage.CopyRequest request) {
             listener.copy(request.prefix(), request.position()).ifPresent(copy -> send(List.of(copy)));
         } else if (message instanceof PeerMessage.Bye) {
--- a/relay/src/main/java/org/endivehold/relay/peer/PeerListener.java
+++ b/relay/src/main/java/org/endivehold/relay/peer/PeerListener.java
@@ -26,6 +26,11 @@
         return List.of();
     }
 
+    /** Returns the answer to a ping of a daemon that is connected to this one. */
+    default PeerMessage.Ping pingAnswer() {
+        return new PeerMessage.Ping();
+    }
+
     /** A daemon offers a request that it cannot deliver, on a connection of its own; by default, it is declined. */
     default void onForwardOffer(PeerMessage.ForwardOffer offer, PeerStream stream) {
         stream.end(new PeerMessage.ForwardDeclined("not served here"));
--- a/relay/src/main/java/org/endivehold/relay/peer/PeerMesh.java
+++ b/relay/src/main/java/org/endivehold/relay/peer/PeerMesh.java
@@ -296,8 +296,11 @@
             directory.recordSeen(hello.daemon(), link.lastReceivedAt);
         } else if (message instanceof PeerMessage.Members list) {
             mergeMembers(list);
-        } else if (message instanceof PeerMessage.Ping) {
+        } else if (message instanceof PeerMessage.Ping ping) {
             peerAlive(link.daemon);
+            if (ping.storeUnavailable()) {
+                listener.onMessage(link.daemon, ping);
+            }
         } else {
             listener.onMessage(link.daemon, message);
         }
--- a/relay/src/main/java/org/endivehold/relay/peer/PeerMessage.java
+++ b/relay/src/main/java/org/endivehold/relay/peer/PeerMessage.java
@@ -234,8 +234,17 @@
      */
     record ForwardedFailure(int status, ErrorType type, double retryAfterMillis) implements PeerMessage {}
 
-    /** Keeps the connection alive; answered with another ping by the side that accepted the connection. */
-    record Ping() implements PeerMessage {}
+    /**
+     * Keeps the connection alive; answered with another ping by the side that accepted the connection.
+     *
+     * @param storeUnavailable whether the sender watches the store for others and gets no answers from it
+     */
+    record Ping(boolean storeUnavailable) implements PeerMessage {
+        /** A ping that says nothing about the store. */
+        public Ping() {
+            this(false);
+        }
+    }
 
     /** The sender shuts down. */
     record Bye() implements PeerMessage {}
--- a/relay/src/main/java/org/endivehold/relay/state/WatchedPrefix.java
+++ b/relay/src/main/java/org/endivehold/relay/state/WatchedPrefix.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -19,8 +20,9 @@
  * <p>The copy starts with a read of the whole range and continues with watches from the position of its first page. The
  * pages are not a snapshot, but changes made between them are reported again by the watch, and a change replaces an
  * item only if it is later. If the store no longer has the history, the range is read again and compared: items that
- * are missing in it were removed. The range is also read again after two failed calls in a row. A watch waits as long
- * as a dead connection is still detected within the stable window of the deployment.
+ * are missing in it were removed. The range is also read again after two failed calls in a row, unless another daemon
+ * has confirmed the copy since. A watch waits as long as a dead connection is still detected within the stable window
+ * of the deployment.
  *
  * <p>The first read may be stale, which costs less: the watch from its position reports at once what it lacks. It is
  * made only while the copy is empty, so that it never replaces anything newer, and does not count as a confirmation.
@@ -63,6 +65,20 @@
     private static final int MIN_BACKOFF_MILLIS = 100;
     /** Largest mean delay after failed calls, in milliseconds; not smaller because failed calls are charged, too. */
     private static final int MAX_BACKOFF_MILLIS = 800;
+    /**
+     * Mean delay after a failed call while a coordinator reports the store as unavailable, in milliseconds. The
+     * coordinators find earlier that it is back; the longest delay, half as long again, is within the time in which a
+     * configuration has to be in force, in case the store serves this daemon alone.
+     */
+    private static final int REPORTED_BACKOFF_MILLIS = 1_000;
+    /**
+     * Interval at which a copy that makes no calls checks whether those of another one succeed again, in milliseconds.
+     */
+    private static final int HELD_BACK_POLL_MILLIS = 100;
+    /** Longest time after a failed call for which the failures of another copy delay the next one, in milliseconds. */
+    private static final int HELD_BACK_MILLIS = 2_500;
+    /** Validity of a coordinator's report that the store is unavailable, in milliseconds: two pings and a margin. */
+    private static final int REPORT_MILLIS = 1_600;
 
     private static final Logger log = Logger.getLogger(WatchedPrefix.class);
 
@@ -87,6 +103,9 @@
     private double confirmCallAt = Double.NEGATIVE_INFINITY;
     private double heardAt = Double.NEGATIVE_INFINITY;
     private double peerConfirmedUntil = Double.NEGATIVE_INFINITY;
+    private Optional<WatchedPrefix> triedBefore = Optional.empty();
+    private double failedAt = Double.NEGATIVE_INFINITY;
+    private double reportedUnavailableUntil = Double.NEGATIVE_INFINITY;
     private boolean closed;
 
     /** Creates an empty copy as below, with a stable window of {@value #DEFAULT_STABLE_WINDOW_MILLIS} ms. */
@@ -196,6 +215,31 @@
         return peerConfirmedUntil > ticker.millis();
     }
 
+    /**
+     * Sets a copy that finds out for this one whether the store is back: after a failed call, this copy waits for some
+     * time as long as the calls of {@code other} fail, too, or another daemon confirms that copy and so soon this one.
+     */
+    public void tryAfter(WatchedPrefix other) {
+        triedBefore = Optional.of(other);
+    }
+
+    private boolean isHeldBack() {
+        return failures > 0
+                && ticker.millis() - failedAt < HELD_BACK_MILLIS
+                && triedBefore
+                        .filter(other -> other.outageMillis() > 0 || other.reliesOnPeer())
+                        .isPresent();
+    }
+
+    private boolean isReportedUnavailable() {
+        return ticker.millis() < reportedUnavailableUntil;
+    }
+
+    /** Handles the report of a daemon that watches the store for this one that the store does not answer it. */
+    public void reportUnavailable() {
+        reportedUnavailableUntil = ticker.millis() + REPORT_MILLIS;
+    }
+
     /** Returns the duration of the current store outage, in milliseconds; 0 if there is none. */
     public double outageMillis() {
         return outageSince < 0 ? 0 : ticker.millis() - outageSince;
@@ -284,7 +328,9 @@
         double confirmedMillis = peerConfirmedUntil - ticker.millis();
         if (confirmedMillis > 0 && isFilled()) {
             vertx.setTimer((long) confirmedMillis + 1, timer -> startNextCall());
-        } else if (rangeReadNeeded) {
+        } else if (isHeldBack()) {
+            vertx.setTimer(HELD_BACK_POLL_MILLIS, timer -> startNextCall());
+        } else if (rangeReadNeeded || failures > 1) {
             readRange();
         } else {
             call(() -> store.watch(prefix, position(), waitMillis()), this::apply);
@@ -386,9 +432,11 @@
                     .with("reason", cause)
                     .warn(log);
         }
-        int backoff = Math.min(MAX_BACKOFF_MILLIS, MIN_BACKOFF_MILLIS << Math.min(failures, 10));
+        failedAt = ticker.millis();
+        int backoff = isReportedUnavailable()
+                ? REPORTED_BACKOFF_MILLIS
+                : Math.min(MAX_BACKOFF_MILLIS, MIN_BACKOFF_MILLIS << Math.min(failures, 10));
         failures++;
-        rangeReadNeeded = rangeReadNeeded || failures > 1;
         vertx.setTimer(backoff / 2 + random.nextInt(backoff), timer -> startNextCall());
     }
 
--- a/relay/src/test/java/org/endivehold/relay/peer/PeerCodecTest.java
+++ b/relay/src/test/java/org/endivehold/relay/peer/PeerCodecTest.java
@@ -162,6 +162,15 @@
         assertArrayEquals(firstVersion, Arrays.copyOf(withExtensions, firstVersion.length));
     }
 
+    /** A daemon of the version before reads the same ping without what follows it. */
+    @Test
+    void aPingThatReportsTheStoreBeginsWithTheBytesOfAPing() throws Exception {
+        byte[] reporting = content(PeerCodec.encode(List.of(new PeerMessage.Ping(true))));
+        byte[] firstVersion = content(PeerCodec.encode(List.of(new PeerMessage.Ping())));
+        assertEquals(List.of(new PeerMessage.Ping(true)), PeerCodec.decode(Buffer.buffer(reporting)));
+        assertArrayEquals(firstVersion, Arrays.copyOf(reporting, firstVersion.length));
+    }
+
     @Test
     void anExtensionOfALaterVersionIsSkipped() throws Exception {
         Buffer frame = Buffer.buffer(content(PeerCodec.encode(List.of(new PeerMessage.Ping()))));
--- a/relay/src/test/java/org/endivehold/relay/state/FakeStore.java
+++ b/relay/src/test/java/org/endivehold/relay/state/FakeStore.java
@@ -20,6 +20,7 @@
     private long compactedRevision;
     private boolean down;
     private int ranges;
+    private int calls;
     private int lastWaitMillis;
     private Optional<Range> staleState = Optional.empty();
 
@@ -95,6 +96,11 @@
         staleState = Optional.of(new Range(List.copyOf(items.values()), position()));
     }
 
+    /** Returns the number of ranges and watches. */
+    int calls() {
+        return calls;
+    }
+
     int ranges() {
         return ranges;
     }
@@ -149,6 +155,7 @@
     @Override
     public Future<Range> range(String prefix) {
         ranges++;
+        calls++;
         if (down) {
             return unavailable();
         }
@@ -168,6 +175,7 @@
 
     @Override
     public Future<Changes> watch(String prefix, StorePosition after, int waitMillis) {
+        calls++;
         lastWaitMillis = waitMillis;
         if (down) {
             return unavailable();
--- a/relay/src/test/java/org/endivehold/relay/state/WatchedPrefixTest.java
+++ b/relay/src/test/java/org/endivehold/relay/state/WatchedPrefixTest.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.apache.commons.rng.simple.RandomSource;
 import org.endivehold.misc.Ticker;
 import org.junit.jupiter.api.AfterEach;
@@ -354,6 +355,79 @@
         assertEquals(List.of("+s/c=3"), take(1), "the confirmation has expired");
     }
 
+    /**
+     * Each of many daemons called the store several times a second while the coordinators already knew that it is out.
+     */
+    @Test
+    void makesFewCallsWhileACoordinatorReportsTheStoreAsUnavailable() throws Exception {
+        store.write("s/a", "1");
+        run(copy::start);
+        take(1);
+        AtomicInteger before = new AtomicInteger();
+        run(() -> {
+            before.set(store.calls());
+            copy.reportUnavailable();
+            store.down(true);
+        });
+        Thread.sleep(400);
+        run(() -> {
+            assertEquals(before.get(), store.calls(), "the first delay is longer than without a report");
+            store.down(false);
+            store.write("s/b", "2");
+        });
+        assertEquals(List.of("+s/b=2"), take(1));
+    }
+
+    /** The copies of two prefixes each found out for themselves that the store is still out. */
+    @Test
+    void aSecondCopyWaitsForTheFirstOneInAReportedOutage() throws Exception {
+        store.write("s/a", "1");
+        WatchedPrefix second = copy(3_000);
+        second.tryAfter(copy);
+        run(copy::start);
+        run(second::start);
+        take(2);
+        run(() -> {
+            copy.reportUnavailable();
+            second.reportUnavailable();
+            store.down(true);
+        });
+        AtomicInteger before = new AtomicInteger();
+        run(() -> before.set(store.calls()));
+        for (int i = 0; i < 3; i++) {
+            Thread.sleep(1_000);
+            run(copy::reportUnavailable);
+            run(second::reportUnavailable);
+        }
+        run(() -> assertTrue(store.calls() - before.get() <= 7, () -> store.calls() - before.get() + " calls"));
+        run(() -> {
+            store.down(false);
+            store.write("s/b", "2");
+        });
+        assertEquals(List.of("+s/b=2", "+s/b=2"), take(2));
+    }
+
+    /** A confirmed copy needs no new read of its range when the confirmation ends. */
+    @Test
+    void aCopyThatAnotherDaemonConfirmedAfterAnOutageIsNotReadAgain() throws Exception {
+        store.write("s/a", "1");
+        run(copy::start);
+        take(1);
+        StorePosition known = copy.position();
+        run(() -> store.down(true));
+        Thread.sleep(600);
+        AtomicInteger ranges = new AtomicInteger();
+        run(() -> {
+            store.down(false);
+            assertTrue(copy.confirmByPeer(after(known, 0), known, 0));
+            ranges.set(store.ranges());
+        });
+        Thread.sleep(WatchedPrefix.PEER_CONFIRMATION_MILLIS + 300);
+        run(() -> store.write("s/b", "2"));
+        assertEquals(List.of("+s/b=2"), take(1));
+        assertEquals(ranges.get(), store.ranges());
+    }
+
     /** A daemon that was disconnected receives only the latest change. */
     @Test
     void reportsMissingChanges() throws Exception {
