Only changed members are sent between two whole lists

Cause: whenever a daemon was new, each coordinator sent the whole member list to all connected daemons, at 400 daemons 25 KB to each of 399, up to every 700 ms.

Change: in between the whole lists, each 7.5 s and to a daemon that connects, only new daemons and new entries are sent. A receiver, also of the previous version, adds what it gets to what it knows. Measured: DaemonDirectoryTest announces 1 of 400 members for one new daemon; bytes of a running fleet were not measured.

--- a/relay/src/main/java/org/endivehold/relay/peer/DaemonDirectory.java
+++ b/relay/src/main/java/org/endivehold/relay/peer/DaemonDirectory.java
@@ -34,7 +34,7 @@
     static final int STORE_WATCHERS = 2;
     /** Time after which a daemon that was not seen is removed from the directory, in milliseconds. */
     static final long EXPIRY_MILLIS = 30_000;
-    /** Interval at which the member list is sent to connected daemons, in milliseconds; two of them may be lost. */
+    /** Interval at which the whole member list is sent to connected daemons, in milliseconds; two may be lost. */
     static final long ANNOUNCE_INTERVAL_MILLIS = EXPIRY_MILLIS / 4;
 
     private final DaemonEntry self;
@@ -42,7 +42,9 @@
     /** Daemons that announced their shutdown, with its time: later reports of them by other daemons are stale. */
     private final Map<String, Long> stopped = new HashMap<>();
 
-    private boolean changed;
+    /** Addresses of daemons that are new or have a new entry since the last announcement. */
+    private final Set<SocketAddress> changed = new HashSet<>();
+
     private long announcedAt = Long.MIN_VALUE / 2;
 
     /**
@@ -79,7 +81,9 @@
             return;
         }
         known.put(entry.address(), new Known(entry, seenAt));
-        changed |= old == null || !old.entry().equals(entry);
+        if (old == null || !old.entry().equals(entry)) {
+            changed.add(entry.address());
+        }
     }
 
     /** Records that a known daemon was seen at {@code now}; ignores unknown names. */
@@ -94,20 +98,24 @@
     /** Removes a daemon that has shut down. Its name is not reused: each start has a new one. */
     public void stopped(String name, long now) {
         stopped.put(name, now);
-        changed |= known.values().removeIf(k -> k.entry().name().equals(name));
+        known.values().removeIf(k -> k.entry().name().equals(name));
     }
 
     /**
-     * Returns whether the member list has to be sent to the connected daemons now, and if so, resets the timer. This is
-     * the case after a change and after each interval: a daemon that is connected to coordinators only learns of other
-     * daemons from these lists, and would let them expire otherwise.
+     * Returns the daemons that have to be announced to the connected ones now, with the time since each was last seen,
+     * in milliseconds. These are all daemons after each interval: a daemon that is connected to coordinators only
+     * learns of the others from these lists, and would let them expire otherwise. In between they are those that are
+     * new or have a new entry. A receiver adds what it gets to what it knows, so a daemon that stopped is not
+     * announced.
      */
-    public boolean takeAnnouncementDue(long now) {
-        boolean due = changed || now - announcedAt >= ANNOUNCE_INTERVAL_MILLIS;
-        if (due) {
-            changed = false;
+    public Map<DaemonEntry, Long> takeDueAnnouncements(long now) {
+        Map<DaemonEntry, Long> due = ages(now);
+        if (now - announcedAt >= ANNOUNCE_INTERVAL_MILLIS) {
             announcedAt = now;
+        } else {
+            due.keySet().removeIf(daemon -> !changed.contains(daemon.address()));
         }
+        changed.clear();
         return due;
     }
 
--- a/relay/src/main/java/org/endivehold/relay/peer/PeerMesh.java
+++ b/relay/src/main/java/org/endivehold/relay/peer/PeerMesh.java
@@ -241,15 +241,16 @@
             }
             link.send(List.of(new PeerMessage.Ping()));
         }
-        if (directory.takeAnnouncementDue(now)) {
-            broadcastInbound(members());
+        Map<DaemonEntry, Long> due = directory.takeDueAnnouncements(now);
+        if (!due.isEmpty()) {
+            broadcastInbound(members(due));
         }
         updateLinks();
     }
 
-    private PeerMessage.Members members() {
+    private static PeerMessage.Members members(Map<DaemonEntry, Long> ages) {
         List<PeerMessage.Member> members = new ArrayList<>();
-        directory.ages(ticker.millis()).forEach((daemon, age) -> members.add(new PeerMessage.Member(daemon, age)));
+        ages.forEach((daemon, age) -> members.add(new PeerMessage.Member(daemon, age)));
         return new PeerMessage.Members(members);
     }
 
@@ -337,7 +338,7 @@
         directory.recordSeen(daemon, ticker.millis());
         List<PeerMessage> first = new ArrayList<>();
         first.add(new PeerMessage.Hello(directory.self()));
-        first.add(members());
+        first.add(members(directory.ages(ticker.millis())));
         first.addAll(listener.welcomeMessages());
         peer.send(first);
         updateLinks();
--- a/relay/src/test/java/org/endivehold/relay/peer/DaemonDirectoryTest.java
+++ b/relay/src/test/java/org/endivehold/relay/peer/DaemonDirectoryTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import java.util.Map;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -49,15 +50,33 @@
     void atOneAddressOnlyTheNewestStartIsKnown() {
         DaemonDirectory directory = fleet(2, 0);
         DaemonEntry again = new DaemonEntry("d1#2", "10.0.0.1", 7_000, "zone-1", 1);
-        directory.takeAnnouncementDue(1);
+        directory.takeDueAnnouncements(1);
         directory.recordSeen(again, 10);
-        assertTrue(directory.takeAnnouncementDue(10), "a change has to be announced");
+        assertEquals(Map.of(again, 0L), directory.takeDueAnnouncements(10), "a change has to be announced");
         assertFalse(directory.names().contains("d1#1"));
         directory.recordSeen(entry(1, 1), 5);
-        assertFalse(directory.takeAnnouncementDue(11), "a late report of the earlier start is ignored");
+        assertTrue(directory.takeDueAnnouncements(11).isEmpty(), "a late report of the earlier start is ignored");
         assertTrue(directory.names().contains("d1#2"));
     }
 
+    /** The whole list went to each daemon whenever one of them was new: 25 KB to each of 400. */
+    @Test
+    void betweenTwoIntervalsOnlyChangedDaemonsAreAnnounced() {
+        DaemonDirectory directory = fleet(400, 0);
+        assertEquals(400, directory.takeDueAnnouncements(0).size());
+        assertTrue(directory.takeDueAnnouncements(700).isEmpty());
+        DaemonEntry added = entry(400, 1);
+        directory.recordSeen(added, 800);
+        directory.refresh("d7#1", 900);
+        directory.stopped("d8#1", 950);
+        assertEquals(Map.of(added, 600L), directory.takeDueAnnouncements(1_400));
+        assertEquals(
+                400,
+                directory
+                        .takeDueAnnouncements(DaemonDirectory.ANNOUNCE_INTERVAL_MILLIS)
+                        .size());
+    }
+
     /** Daemons keep reporting a dead daemon to each other; these reports must not prevent its expiry. */
     @Test
     void indirectReportsDoNotKeepADaemonAlive() {
@@ -80,10 +99,8 @@
             for (String name : coordinator.names()) {
                 coordinator.refresh(name, now);
             }
-            if (coordinator.takeAnnouncementDue(now)) {
-                long at = now;
-                coordinator.ages(now).forEach((daemon, age) -> nonCoordinator.recordSeen(daemon, at - age));
-            }
+            long at = now;
+            coordinator.takeDueAnnouncements(now).forEach((daemon, age) -> nonCoordinator.recordSeen(daemon, at - age));
             nonCoordinator.expire(now);
             assertEquals(60, nonCoordinator.names().size(), "at " + now);
         }
