The order of coordinators is computed once for each change of the members

Cause: each message, tick and placement sorted all known daemons, with a hash in each comparison. Change: the directory keeps the coordinators until a daemon is added, changed or removed. Processor time was not measured.

--- a/relay/src/main/java/org/endivehold/relay/peer/DaemonDirectory.java
+++ b/relay/src/main/java/org/endivehold/relay/peer/DaemonDirectory.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.endivehold.misc.RendezvousHash;
 
 /**
@@ -45,6 +46,9 @@
     /** Addresses of daemons that are new or have a new entry since the last announcement. */
     private final Set<SocketAddress> changed = new HashSet<>();
 
+    /** The coordinators of the known daemons; empty if these have changed since it was computed. */
+    private List<DaemonEntry> coordinators = List.of();
+
     private long announcedAt = Long.MIN_VALUE / 2;
 
     /**
@@ -83,6 +87,7 @@
         known.put(entry.address(), new Known(entry, seenAt));
         if (old == null || !old.entry().equals(entry)) {
             changed.add(entry.address());
+            coordinators = List.of();
         }
     }
 
@@ -98,7 +103,7 @@
     /** Removes a daemon that has shut down. Its name is not reused: each start has a new one. */
     public void stopped(String name, long now) {
         stopped.put(name, now);
-        known.values().removeIf(k -> k.entry().name().equals(name));
+        removeIf(k -> k.entry().name().equals(name));
     }
 
     /**
@@ -121,10 +126,16 @@
 
     /** Removes daemons that were not seen within the expiry time. */
     public void expire(long now) {
-        known.values().removeIf(k -> now - k.seenAt() > EXPIRY_MILLIS);
+        removeIf(k -> now - k.seenAt() > EXPIRY_MILLIS);
         stopped.values().removeIf(at -> now - at > EXPIRY_MILLIS);
     }
 
+    private void removeIf(Predicate<Known> condition) {
+        if (known.values().removeIf(condition)) {
+            coordinators = List.of();
+        }
+    }
+
     /** Returns the names of all daemons that have not expired, including this one. */
     public Collection<String> names() {
         Set<String> names = new HashSet<>();
@@ -153,6 +164,13 @@
 
     /** Returns the coordinators in order of preference; all daemons in a small fleet. */
     public List<DaemonEntry> coordinators() {
+        if (coordinators.isEmpty()) {
+            coordinators = List.copyOf(rankedCoordinators());
+        }
+        return coordinators;
+    }
+
+    private List<DaemonEntry> rankedCoordinators() {
         List<DaemonEntry> all = new ArrayList<>();
         all.add(self);
         known.values().forEach(k -> all.add(k.entry()));
