A change of the store travels to another zone only for its coordinator

Cause: every watching coordinator sent each change in full, a configuration of 50 KB, to all daemons of all zones.

Change: a watcher sends a change to its own zone, the other coordinators and zones without a coordinator; a coordinator that gets it from another one passes it on within its zone. A daemon that learns of a change from an announcement gives its zone 100 ms and then requests a copy. CopyExchangeTest freezes each coordinator, cuts it off from the store with refusals or in silence, and checks that a change reaches all other daemons within 2,000 ms.

Measured (CopyExchangeTest, 12 daemons in 3 zones): no daemon but a coordinator gets a change from another zone, and a coordinator gets at most two. Bytes of a running fleet were not measured.

--- a/daemon/src/main/java/org/endivehold/daemon/entry/EntryDaemon.java
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/EntryDaemon.java
@@ -118,7 +118,7 @@
         fleet = new FleetState(decoder, ticker, availability, copyAges());
         operatorEntries = copy(store, decoder.operatorPrefix(), random);
         upstreamEntries = copy(store, decoder.upstreamPrefix(), random);
-        copyExchange = new CopyExchange(directory, List.of(operatorEntries, upstreamEntries), mesh);
+        copyExchange = new CopyExchange(vertx, directory, List.of(operatorEntries, upstreamEntries), mesh);
         LocalScheduler local =
                 new LocalScheduler(vertx, ticker, random, fleet, health, jobReplicator, new EngineDivision(daemons));
         SharedScheduler scheduler = new SharedScheduler(vertx, ticker, self, local, jobReplicator, mesh);
@@ -222,7 +222,7 @@
     private void startBackgroundWork() {
         operatorEntries.start();
         upstreamEntries.start();
-        copyExchange.start(vertx);
+        copyExchange.start();
         settings.seeds().forEach(mesh::addSeed);
         registration.start();
         barredTraits.start(suspects);
--- a/relay/src/main/java/org/endivehold/relay/peer/CopyExchange.java
+++ b/relay/src/main/java/org/endivehold/relay/peer/CopyExchange.java
@@ -1,8 +1,12 @@
 package org.endivehold.relay.peer;
 
 import io.vertx.core.Vertx;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.endivehold.relay.state.SharedStore;
 import org.endivehold.relay.state.StorePosition;
 import org.endivehold.relay.state.WatchedPrefix;
@@ -18,6 +22,10 @@
  * sender. If it is the third coordinator, it announces its copies as well. Example: 60 daemons with two prefixes make 4
  * watch calls every 2.4 s instead of 120.
  *
+ * <p>A change travels to another zone only for the coordinator there, which forwards it within its zone. The others
+ * learn from the position in the next announcement of any coordinator that they miss it, and request a copy. So if the
+ * coordinator of a zone is lost, the daemons of its zone get a change at most one interval of announcements later.
+ *
  * <p>A daemon that cannot reach the store requests newer copies from other daemons.
  */
 public final class CopyExchange {
@@ -25,20 +33,32 @@
     private static final int ANNOUNCE_INTERVAL_MILLIS = 700;
     /** Duration of a store outage after which newer copies are requested from other daemons, in milliseconds. */
     private static final int COPY_REQUEST_AFTER_MILLIS = 400;
+    /**
+     * Time that a change gets to arrive from the coordinator of this daemon's zone after another coordinator has
+     * announced it, in milliseconds; then a whole copy is requested.
+     */
+    private static final int MISSING_CHANGE_MILLIS = 100;
+
+    private final Vertx vertx;
 
     private final DaemonDirectory directory;
     private final List<WatchedPrefix> copies;
     private final PeerMesh mesh;
+    /** Position of the last change that was forwarded, by prefix. */
+    private final Map<String, StorePosition> forwarded = new HashMap<>();
+
     private int nextPeer;
 
     /**
      * Creates the exchange and forwards every change that the store reports to {@code copies}.
      *
+     * @param vertx runs the timers
      * @param directory the known daemons; decides whether this daemon is a coordinator
      * @param copies this daemon's copies, one for each prefix
      * @param mesh connections to other daemons
      */
-    public CopyExchange(DaemonDirectory directory, List<WatchedPrefix> copies, PeerMesh mesh) {
+    public CopyExchange(Vertx vertx, DaemonDirectory directory, List<WatchedPrefix> copies, PeerMesh mesh) {
+        this.vertx = vertx;
         this.directory = directory;
         this.copies = copies;
         this.mesh = mesh;
@@ -49,7 +69,7 @@
     }
 
     /** Starts the periodic announcements that copies are current. */
-    public void start(Vertx vertx) {
+    public void start() {
         vertx.setPeriodic(ANNOUNCE_INTERVAL_MILLIS, timer -> announceCurrent());
     }
 
@@ -71,9 +91,7 @@
         } else if (message instanceof PeerMessage.CopyCurrent theirs) {
             confirm(daemon, theirs);
         } else if (message instanceof PeerMessage.CopyChanged theirs) {
-            copy(theirs.prefix())
-                    .filter(mine -> !mine.applyFromPeer(theirs.changes(), theirs.after()))
-                    .ifPresent(mine -> requestCopy(daemon, mine));
+            copy(theirs.prefix()).ifPresent(mine -> changed(daemon, theirs, mine));
         } else if (message instanceof PeerMessage.Ping theirs) {
             storeState(theirs);
         } else {
@@ -99,10 +117,47 @@
             copy(theirs.prefix())
                     .filter(mine ->
                             !mine.confirmByPeer(theirs.position(), theirs.changedAt(), theirs.sinceOutageMillis()))
-                    .ifPresent(mine -> requestCopy(daemon, mine));
+                    .ifPresent(mine -> vertx.setTimer(MISSING_CHANGE_MILLIS, timer -> {
+                        if (theirs.changedAt().isAfter(mine.position())) {
+                            requestCopy(daemon, mine);
+                        }
+                    }));
+        }
+    }
+
+    private void changed(String daemon, PeerMessage.CopyChanged theirs, WatchedPrefix mine) {
+        StorePosition before = mine.position();
+        if (!mine.applyFromPeer(theirs.changes(), theirs.after())) {
+            requestCopy(daemon, mine);
+        } else if (mine.position().isAfter(before) && isCoordinator()) {
+            relay(theirs);
         }
     }
 
+    /** Forwards the changes that another coordinator reported within the zone; that one informs the other zones. */
+    private void relay(PeerMessage.CopyChanged theirs) {
+        List<DaemonEntry> coordinators = directory.coordinators();
+        if (isFirstReport(theirs.prefix(), theirs.changes())) {
+            mesh.sendInbound(theirs, daemon -> isOwnZone(daemon) && !coordinators.contains(daemon));
+        }
+    }
+
+    /** Returns whether the changes were not forwarded before: several coordinators may report the same ones. */
+    private boolean isFirstReport(String prefix, SharedStore.Changes changes) {
+        List<SharedStore.Change> list = changes.changes();
+        StorePosition last =
+                list.isEmpty() ? changes.position() : list.get(list.size() - 1).position();
+        boolean first = last.isAfter(forwarded.getOrDefault(prefix, StorePosition.NONE));
+        if (first) {
+            forwarded.put(prefix, last);
+        }
+        return first;
+    }
+
+    private boolean isOwnZone(DaemonEntry daemon) {
+        return daemon.zone().equals(directory.self().zone());
+    }
+
     /** Returns this daemon's copy of a prefix if it is newer than {@code newerThan}. */
     public Optional<PeerMessage.Copy> copy(String prefix, StorePosition newerThan) {
         return copy(prefix)
@@ -138,7 +193,14 @@
 
     private void forwardChanges(WatchedPrefix copy, SharedStore.Changes changes, StorePosition after) {
         if (isCoordinator()) {
-            mesh.broadcastInbound(new PeerMessage.CopyChanged(copy.prefix(), after, changes));
+            List<DaemonEntry> coordinators = directory.coordinators();
+            Set<String> zones = coordinators.stream().map(DaemonEntry::zone).collect(Collectors.toSet());
+            boolean first = isFirstReport(copy.prefix(), changes);
+            mesh.sendInbound(
+                    new PeerMessage.CopyChanged(copy.prefix(), after, changes),
+                    daemon -> coordinators.contains(daemon)
+                            || !zones.contains(daemon.zone())
+                            || (first && isOwnZone(daemon)));
         }
     }
 
--- a/relay/src/main/java/org/endivehold/relay/peer/PeerMesh.java
+++ b/relay/src/main/java/org/endivehold/relay/peer/PeerMesh.java
@@ -16,6 +16,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.endivehold.misc.LogEvent;
 import org.endivehold.misc.Ticker;
 import org.endivehold.relay.schedule.SchedulerPeers;
@@ -56,6 +57,9 @@
     private final Map<SocketAddress, PeerLink> links = new HashMap<>();
     private final Set<SocketAddress> seeds = new HashSet<>();
     private final Map<String, InboundPeer> inbound = new HashMap<>();
+    /** The daemons at the other ends of {@code inbound}, by their names. */
+    private final Map<String, DaemonEntry> inboundEntries = new HashMap<>();
+
     private final List<PeerMessage> batch = new ArrayList<>();
     private final List<PeerMessage> inboundBatch = new ArrayList<>();
     private boolean flushScheduled;
@@ -113,6 +117,16 @@
         scheduleFlush();
     }
 
+    /** Sends a message at once to those daemons that have connected to this one and that meet a condition. */
+    public void sendInbound(PeerMessage message, Predicate<DaemonEntry> receivers) {
+        Buffer frame = PeerCodec.encode(List.of(message));
+        for (DaemonEntry daemon : List.copyOf(inboundEntries.values())) {
+            if (receivers.test(daemon)) {
+                inbound.get(daemon.name()).send(frame);
+            }
+        }
+    }
+
     /**
      * Sends a message to all daemons that are connected: in a small fleet each daemon has a connection to each other
      * one, in a large one the coordinators pass on what is news to them.
@@ -335,6 +349,7 @@
     /** Handles the {@code Hello} of a daemon that has connected. */
     void inboundOpened(InboundPeer peer, DaemonEntry daemon) {
         inbound.put(daemon.name(), peer);
+        inboundEntries.put(daemon.name(), daemon);
         directory.recordSeen(daemon, ticker.millis());
         List<PeerMessage> first = new ArrayList<>();
         first.add(new PeerMessage.Hello(directory.self()));
@@ -356,6 +371,8 @@
 
     /** Removes a connection that another daemon opened and that has ended. */
     void inboundClosed(InboundPeer peer, String daemon) {
-        inbound.remove(daemon, peer);
+        if (inbound.remove(daemon, peer)) {
+            inboundEntries.remove(daemon);
+        }
     }
 }
--- a/relay/src/test/java/org/endivehold/relay/state/CopyExchangeTest.java
+++ b/relay/src/test/java/org/endivehold/relay/state/CopyExchangeTest.java
@@ -3,8 +3,11 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
+import io.vertx.core.buffer.Buffer;
 import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
@@ -15,6 +18,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import org.apache.commons.rng.simple.RandomSource;
+import org.endivehold.error.EndiveholdException;
+import org.endivehold.error.ErrorType;
 import org.endivehold.misc.Ticker;
 import org.endivehold.relay.peer.CopyExchange;
 import org.endivehold.relay.peer.DaemonDirectory;
@@ -24,11 +29,17 @@
 import org.endivehold.relay.peer.PeerMessage;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** A large fleet on loopback with one in-memory store. */
 class CopyExchangeTest {
     private static final int LIMIT_SECONDS = 15;
     private static final int FLEET = 12;
+    private static final int ZONES = 3;
+    /** Time within which a change of the store is known to all daemons, in milliseconds. */
+    private static final int APPLY_MILLIS = 2_000;
+
     private static final int WATCHERS = 2;
     /** Checks in a row by which a state counts as lasting. */
     private static final int LASTING_CHECKS = 20;
@@ -37,28 +48,89 @@
     private final FakeStore store = new FakeStore();
     private final List<Daemon> daemons = new ArrayList<>();
 
+    /** What happens to a coordinator. */
+    enum Fault {
+        NONE,
+        /** It does nothing any more; its connections stay open. */
+        FROZEN,
+        /** The store refuses its calls. */
+        REFUSED,
+        /** Its connections to the store deliver nothing. */
+        SILENT
+    }
+
+    /** One daemon's client of the store. */
+    private final class Client implements SharedStore {
+        private final Promise<Changes> never = Promise.promise();
+        private Fault fault = Fault.NONE;
+
+        private <T> Future<T> refused() {
+            return Future.failedFuture(new EndiveholdException(ErrorType.STORE_UNAVAILABLE, "refused"));
+        }
+
+        @Override
+        public Future<Range> range(String prefix) {
+            return fault == Fault.NONE ? store.range(prefix) : refused();
+        }
+
+        @Override
+        public Future<Changes> watch(String prefix, StorePosition after, int waitMillis) {
+            return switch (fault) {
+                case NONE ->
+                    store.watch(prefix, after, waitMillis)
+                            .compose(
+                                    changes -> fault == Fault.SILENT ? never.future() : Future.succeededFuture(changes))
+                            .compose(changes -> fault == Fault.NONE ? Future.succeededFuture(changes) : refused());
+                case SILENT -> never.future();
+                default -> refused();
+            };
+        }
+
+        @Override
+        public Future<StoreLease> grantLease(int ttlMillis) {
+            return store.grantLease(ttlMillis);
+        }
+
+        @Override
+        public Future<Void> renewLease(StoreLease lease) {
+            return store.renewLease(lease);
+        }
+
+        @Override
+        public Future<Void> revokeLease(StoreLease lease) {
+            return store.revokeLease(lease);
+        }
+
+        @Override
+        public Future<Void> put(String key, Buffer value, StoreLease lease) {
+            return store.put(key, value, lease);
+        }
+    }
+
     /** A daemon that only replicates one prefix. */
     private final class Daemon implements PeerListener, ItemListener {
+        private final Client client = new Client();
         private final WatchedPrefix copy =
-                new WatchedPrefix(vertx, store, "s/", Ticker.system(), RandomSource.SPLIT_MIX_64.create(1), this);
+                new WatchedPrefix(vertx, client, "s/", Ticker.system(), RandomSource.SPLIT_MIX_64.create(1), this);
         private final DaemonEntry entry;
         private final DaemonDirectory directory;
         private final PeerMesh mesh;
         private final CopyExchange exchange;
+        private int changesOfOtherZones;
 
-        Daemon(String name) throws Exception {
+        Daemon(String name, String zone) throws Exception {
             try (ServerSocket socket = new ServerSocket(0)) {
-                entry = new DaemonEntry(name, "127.0.0.1", socket.getLocalPort(), "zone", 1);
+                entry = new DaemonEntry(name, "127.0.0.1", socket.getLocalPort(), zone, 1);
             }
             directory = new DaemonDirectory(entry);
             mesh = new PeerMesh(vertx, Ticker.system(), directory, this);
-            exchange = new CopyExchange(directory, List.of(copy), mesh);
+            exchange = new CopyExchange(vertx, directory, List.of(copy), mesh);
             mesh.start().toCompletionStage().toCompletableFuture().get(LIMIT_SECONDS, TimeUnit.SECONDS);
         }
 
         void begin(List<DaemonEntry> fleet) {
             copy.start();
-            exchange.start(vertx);
+            exchange.start();
             mesh.addDaemons(fleet);
         }
 
@@ -70,6 +142,12 @@
 
         @Override
         public void onMessage(String daemon, PeerMessage message) {
+            if (client.fault == Fault.FROZEN) {
+                return;
+            }
+            if (message instanceof PeerMessage.CopyChanged && !zoneOf(daemon).equals(entry.zone())) {
+                changesOfOtherZones++;
+            }
             exchange.handle(daemon, message);
         }
 
@@ -90,6 +168,15 @@
         }
     }
 
+    private String zoneOf(String name) {
+        return daemons.stream()
+                .map(daemon -> daemon.entry)
+                .filter(entry -> entry.name().equals(name))
+                .findFirst()
+                .orElseThrow()
+                .zone();
+    }
+
     @AfterEach
     void close() throws Exception {
         vertx.close().toCompletionStage().toCompletableFuture().get(LIMIT_SECONDS, TimeUnit.SECONDS);
@@ -114,7 +201,7 @@
 
     private void fleet() throws Exception {
         for (int i = 0; i < FLEET; i++) {
-            daemons.add(new Daemon("d" + i + "#1"));
+            daemons.add(new Daemon("d" + i + "#1", "zone-" + i % ZONES));
         }
         List<DaemonEntry> entries = daemons.stream().map(daemon -> daemon.entry).toList();
         vertx.runOnContext(ignored -> {
@@ -133,6 +220,61 @@
         assertEquals(FLEET, store.ranges());
     }
 
+    private List<DaemonEntry> coordinators() {
+        return daemons.get(0).directory.coordinators();
+    }
+
+    private boolean allKnow(String key) {
+        return daemons.stream()
+                .filter(daemon -> daemon.client.fault != Fault.FROZEN)
+                .allMatch(daemon ->
+                        daemon.copy.items().stream().anyMatch(item -> item.key().equals(key)));
+    }
+
+    /** All three coordinators sent each change in full to all daemons of all zones. */
+    @Test
+    void aChangeTravelsToAnotherZoneOnlyForItsCoordinator() throws Exception {
+        fleet();
+        vertx.runOnContext(ignored -> store.write("s/b", "2"));
+        until("all know", () -> {}, () -> allKnow("s/b"));
+        List<DaemonEntry> coordinators = coordinators();
+        for (Daemon daemon : daemons) {
+            int limit = coordinators.contains(daemon.entry) ? WATCHERS : 0;
+            assertTrue(daemon.changesOfOtherZones <= limit, () -> daemon.entry + " got " + daemon.changesOfOtherZones);
+        }
+    }
+
+    /** The daemons of a zone whose coordinator does not forward a change would not learn of it in time. */
+    @ParameterizedTest(name = "coordinator {0} is {1}")
+    @CsvSource({
+        "0, FROZEN",
+        "1, FROZEN",
+        "2, FROZEN",
+        "0, REFUSED",
+        "1, REFUSED",
+        "2, REFUSED",
+        "0, SILENT",
+        "1, SILENT",
+        "2, SILENT"
+    })
+    void aChangeReachesAllDaemonsInTimeWhateverHappensToACoordinator(int rank, Fault fault) throws Exception {
+        fleet();
+        DaemonEntry lost = coordinators().get(rank);
+        CompletableFuture<Long> written = new CompletableFuture<>();
+        vertx.runOnContext(ignored -> {
+            for (Daemon daemon : daemons) {
+                if (daemon.entry.equals(lost)) {
+                    daemon.client.fault = fault;
+                }
+            }
+            store.write("s/b", "2");
+            written.complete(System.nanoTime());
+        });
+        until("all know", () -> {}, () -> allKnow("s/b"));
+        long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - written.get());
+        assertTrue(millis <= APPLY_MILLIS, () -> millis + " ms");
+    }
+
     /** Both watchers are lost: each of the other daemons went on watching for itself. */
     @Test
     void theThirdCoordinatorWatchesForAllWhenTheFirstTwoAreLost() throws Exception {
--- a/relay/src/test/java/org/endivehold/relay/state/FleetConfigurationTest.java
+++ b/relay/src/test/java/org/endivehold/relay/state/FleetConfigurationTest.java
@@ -99,14 +99,14 @@
             }
             DaemonDirectory directory = new DaemonDirectory(entry);
             mesh = new PeerMesh(vertx, Ticker.system(), directory, this);
-            copies = new CopyExchange(directory, List.of(copy), mesh);
+            copies = new CopyExchange(vertx, directory, List.of(copy), mesh);
             configurations = new ConfigurationExchange(vertx, fleet.configuration(), mesh);
             mesh.start().toCompletionStage().toCompletableFuture().get(LIMIT_SECONDS, TimeUnit.SECONDS);
             daemons.add(this);
             List<DaemonEntry> known = daemons.stream().map(d -> d.entry).toList();
             vertx.runOnContext(ignored -> {
                 copy.start();
-                copies.start(vertx);
+                copies.start();
                 mesh.addDaemons(known);
             });
         }
