--- a/daemon/src/main/java/org/endivehold/daemon/entry/EntryDaemon.java
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/EntryDaemon.java
@@ -107,8 +107,7 @@
         long startedAtMillis = System.currentTimeMillis();
         self = settings.name() + "#" + startedAtMillis;
         UniformRandomProvider random = RandomSource.SPLIT_MIX_64.create(startedAtMillis ^ self.hashCode());
-        DaemonEntry entry = new DaemonEntry(
-                self, settings.peers().host(), settings.peers().port(), settings.zone(), settings.capacity());
+        DaemonEntry entry = entry(self, settings);
         DaemonDirectory directory = new DaemonDirectory(entry);
         jobReplicator = new JobReplicator(ticker, self, this::sendToPeers);
         PeerMessageDispatcher dispatcher = new PeerMessageDispatcher(jobReplicator, health, ticker);
@@ -117,9 +116,9 @@
         UpstreamRateLimits rateLimits = new UpstreamRateLimits(daemons);
         availability = new UpstreamAvailability(health, rateLimits);
         fleet = new FleetState(decoder, ticker, availability, copyAges());
-        operatorEntries = new WatchedPrefix(vertx, store, decoder.operatorPrefix(), ticker, random, fleet);
-        upstreamEntries = new WatchedPrefix(vertx, store, decoder.upstreamPrefix(), ticker, random, fleet);
-        copyExchange = new CopyExchange(directory, List.of(operatorEntries, upstreamEntries), mesh);
+        operatorEntries = copy(store, decoder.operatorPrefix(), random);
+        upstreamEntries = copy(store, decoder.upstreamPrefix(), random);
+        copyExchange = new CopyExchange(vertx, directory, List.of(operatorEntries, upstreamEntries), mesh);
         LocalScheduler local =
                 new LocalScheduler(vertx, ticker, random, fleet, health, jobReplicator, new EngineDivision(daemons));
         SharedScheduler scheduler = new SharedScheduler(vertx, ticker, self, local, jobReplicator, mesh);
@@ -145,6 +144,7 @@
         orders.onAnswer(recorder);
         registration = new Registration(vertx, store, decoder.daemonPrefix(), entry, settings, mesh);
         PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+        store.onCallEnded(new StoreCallMetrics(registry));
         RelayBounds bounds = settings.bounds();
         HeldBodies bodies = HeldBodies.inHeap(Runtime.getRuntime().maxMemory());
         callers = new CallerServer(new RelayContext(
@@ -172,6 +172,16 @@
         status = new StatusServer(vertx, settings, headerCodec.readinessPath(), registry, fleet::complete);
     }
 
+    private static DaemonEntry entry(String name, RelaySettings settings) {
+        return new DaemonEntry(
+                name, settings.peers().host(), settings.peers().port(), settings.zone(), settings.capacity());
+    }
+
+    private WatchedPrefix copy(SharedStore store, String prefix, UniformRandomProvider random) {
+        int windowMillis = settings.bounds().stableWindowMillis();
+        return new WatchedPrefix(vertx, store, prefix, ticker, random, fleet, windowMillis);
+    }
+
     /** Creates a Vert.x instance with the single event loop that a daemon runs on. */
     public static Vertx createVertx() {
         return Vertx.vertx(new VertxOptions()
@@ -212,7 +222,7 @@
     private void startBackgroundWork() {
         operatorEntries.start();
         upstreamEntries.start();
-        copyExchange.start(vertx);
+        copyExchange.start();
         settings.seeds().forEach(mesh::addSeed);
         registration.start();
         barredTraits.start(suspects);
--- a/daemon/src/test/java/org/endivehold/daemon/entry/TestFleet.java
+++ b/daemon/src/test/java/org/endivehold/daemon/entry/TestFleet.java
@@ -113,7 +113,7 @@
                 seeds,
                 local(1),
                 1_000,
-                new RelayBounds(4_000, 1, 5, 0.2, 100, 10_000));
+                new RelayBounds(4_000, 1, 5, 0.2, 100, 10_000, 3_000));
         Vertx vertx = EntryDaemon.createVertx();
         InMemoryStore store = new InMemoryStore(
                 vertx, items, key -> Optional.ofNullable(links.get(key.substring(key.indexOf('/') + 1)))
@@ -220,7 +220,8 @@
         await(outside.close());
     }
 
-    private static final class Decoder implements StoreDecoder {
+    /** Decodes the values of a test fleet's store. */
+    static final class Decoder implements StoreDecoder {
         @Override
         public String operatorPrefix() {
             return "operators/";
@@ -277,7 +278,8 @@
         }
     }
 
-    private static final class NoMemoryClient implements EngineMemoryClient {
+    /** Sends no orders. */
+    static final class NoMemoryClient implements EngineMemoryClient {
         @Override
         public Future<Void> reserve(Upstream engine, String reservation, long tokens, int holdMillis) {
             return Future.succeededFuture();
--- a/relay/src/main/java/org/endivehold/relay/peer/DaemonDirectory.java
+++ b/relay/src/main/java/org/endivehold/relay/peer/DaemonDirectory.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.endivehold.misc.RendezvousHash;
 
 /**
@@ -28,9 +29,13 @@
     static final int MAX_FULL_MESH_SIZE = 9;
     /** Coordinators of a large fleet: one that places requests, and two for failover. */
     static final int COORDINATORS = 3;
+    /**
+     * Coordinators that watch the store for all: one of them may be lost without any other daemon calling the store.
+     */
+    static final int STORE_WATCHERS = 2;
     /** Time after which a daemon that was not seen is removed from the directory, in milliseconds. */
     static final long EXPIRY_MILLIS = 30_000;
-    /** Interval at which the member list is sent to connected daemons, in milliseconds; two of them may be lost. */
+    /** Interval at which the whole member list is sent to connected daemons, in milliseconds; two may be lost. */
     static final long ANNOUNCE_INTERVAL_MILLIS = EXPIRY_MILLIS / 4;
 
     private final DaemonEntry self;
@@ -38,7 +43,12 @@
     /** Daemons that announced their shutdown, with its time: later reports of them by other daemons are stale. */
     private final Map<String, Long> stopped = new HashMap<>();
 
-    private boolean changed;
+    /** Addresses of daemons that are new or have a new entry since the last announcement. */
+    private final Set<SocketAddress> changed = new HashSet<>();
+
+    /** The coordinators of the known daemons; empty if these have changed since it was computed. */
+    private List<DaemonEntry> coordinators = List.of();
+
     private long announcedAt = Long.MIN_VALUE / 2;
 
     /**
@@ -75,7 +85,10 @@
             return;
         }
         known.put(entry.address(), new Known(entry, seenAt));
-        changed |= old == null || !old.entry().equals(entry);
+        if (old == null || !old.entry().equals(entry)) {
+            changed.add(entry.address());
+            coordinators = List.of();
+        }
     }
 
     /** Records that a known daemon was seen at {@code now}; ignores unknown names. */
@@ -90,29 +103,39 @@
     /** Removes a daemon that has shut down. Its name is not reused: each start has a new one. */
     public void stopped(String name, long now) {
         stopped.put(name, now);
-        changed |= known.values().removeIf(k -> k.entry().name().equals(name));
+        removeIf(k -> k.entry().name().equals(name));
     }
 
     /**
-     * Returns whether the member list has to be sent to the connected daemons now, and if so, resets the timer. This is
-     * the case after a change and after each interval: a daemon that is connected to coordinators only learns of other
-     * daemons from these lists, and would let them expire otherwise.
+     * Returns the daemons that have to be announced to the connected ones now, with the time since each was last seen,
+     * in milliseconds. These are all daemons after each interval: a daemon that is connected to coordinators only
+     * learns of the others from these lists, and would let them expire otherwise. In between they are those that are
+     * new or have a new entry. A receiver adds what it gets to what it knows, so a daemon that stopped is not
+     * announced.
      */
-    public boolean takeAnnouncementDue(long now) {
-        boolean due = changed || now - announcedAt >= ANNOUNCE_INTERVAL_MILLIS;
-        if (due) {
-            changed = false;
+    public Map<DaemonEntry, Long> takeDueAnnouncements(long now) {
+        Map<DaemonEntry, Long> due = ages(now);
+        if (now - announcedAt >= ANNOUNCE_INTERVAL_MILLIS) {
             announcedAt = now;
+        } else {
+            due.keySet().removeIf(daemon -> !changed.contains(daemon.address()));
         }
+        changed.clear();
         return due;
     }
 
     /** Removes daemons that were not seen within the expiry time. */
     public void expire(long now) {
-        known.values().removeIf(k -> now - k.seenAt() > EXPIRY_MILLIS);
+        removeIf(k -> now - k.seenAt() > EXPIRY_MILLIS);
         stopped.values().removeIf(at -> now - at > EXPIRY_MILLIS);
     }
 
+    private void removeIf(Predicate<Known> condition) {
+        if (known.values().removeIf(condition)) {
+            coordinators = List.of();
+        }
+    }
+
     /** Returns the names of all daemons that have not expired, including this one. */
     public Collection<String> names() {
         Set<String> names = new HashSet<>();
@@ -141,6 +164,13 @@
 
     /** Returns the coordinators in order of preference; all daemons in a small fleet. */
     public List<DaemonEntry> coordinators() {
+        if (coordinators.isEmpty()) {
+            coordinators = List.copyOf(rankedCoordinators());
+        }
+        return coordinators;
+    }
+
+    private List<DaemonEntry> rankedCoordinators() {
         List<DaemonEntry> all = new ArrayList<>();
         all.add(self);
         known.values().forEach(k -> all.add(k.entry()));
@@ -150,6 +180,15 @@
         return usesFullMesh() ? all : spreadOverZones(all);
     }
 
+    /**
+     * Returns the coordinators that watch the store as long as they are well. The other coordinators watch it when
+     * these announce nothing any more.
+     */
+    public List<DaemonEntry> storeWatchers() {
+        List<DaemonEntry> coordinators = coordinators();
+        return coordinators.subList(0, Math.min(STORE_WATCHERS, coordinators.size()));
+    }
+
     private static int rank(DaemonEntry entry) {
         // The key is hashed: all daemons must use the same one to compute the same order.
         return RendezvousHash.rank(entry.name(), "account");
--- a/relay/src/main/java/org/endivehold/relay/peer/FrameExtensions.java
+++ b/relay/src/main/java/org/endivehold/relay/peer/FrameExtensions.java
@@ -23,6 +23,8 @@
 final class FrameExtensions {
     private static final int TRAFFIC_CLASS = 1;
     private static final int WAIT_REASON = 2;
+    /** In a {@code Ping}, without fields: the sender gets no answers from the store. */
+    private static final int STORE_UNAVAILABLE = 3;
 
     private FrameExtensions() {}
 
@@ -41,6 +43,9 @@
             if (reason.isPresent()) {
                 extensions.add(new Extension(WAIT_REASON, i, Buffer.buffer(encode(reason.get()))));
             }
+            if (messages.get(i) instanceof PeerMessage.Ping ping && ping.storeUnavailable()) {
+                extensions.add(new Extension(STORE_UNAVAILABLE, i, Buffer.buffer()));
+            }
         }
         if (extensions.isEmpty()) {
             return;
@@ -70,6 +75,8 @@
                 messages.set(index, extend(messages.get(index), decode(fields)));
             } else if (kind == WAIT_REASON) {
                 messages.set(index, extend(messages.get(index), decodeReason(fields)));
+            } else if (kind == STORE_UNAVAILABLE && messages.get(index) instanceof PeerMessage.Ping) {
+                messages.set(index, new PeerMessage.Ping(true));
             }
         }
     }
--- a/relay/src/main/java/org/endivehold/relay/state/WatchedPrefix.java
+++ b/relay/src/main/java/org/endivehold/relay/state/WatchedPrefix.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -19,8 +20,12 @@
  * <p>The copy starts with a read of the whole range and continues with watches from the position of its first page. The
  * pages are not a snapshot, but changes made between them are reported again by the watch, and a change replaces an
  * item only if it is later. If the store no longer has the history, the range is read again and compared: items that
- * are missing in it were removed. The range is also read again after two failed calls in a row. Waits are short, so
- * that a dead connection is detected within seconds.
+ * are missing in it were removed. The range is also read again after two failed calls in a row, unless another daemon
+ * has confirmed the copy since. A watch waits as long as a dead connection is still detected within the stable window
+ * of the deployment.
+ *
+ * <p>The first read may be stale, which costs less: the watch from its position reports at once what it lacks. It is
+ * made only while the copy is empty, so that it never replaces anything newer, and does not count as a confirmation.
  *
  * <p>During a store outage the copy remains in use, and newer copies of other daemons are accepted.
  *
@@ -36,11 +41,20 @@
  * the position of its copy.
  */
 public final class WatchedPrefix {
+    /** Time within which a connection that delivers nothing is detected by default, in milliseconds. */
+    private static final int DEFAULT_STABLE_WINDOW_MILLIS = 3_000;
+    /**
+     * Time from the end of a watch's wait until a connection that delivers nothing is given up, in milliseconds: the
+     * adapter's timeout. A watch waits for the rest of the stable window.
+     */
+    private static final int DETECTION_MILLIS = 600;
+    /** Shortest wait of a watch call, in milliseconds, whatever the stable window. */
+    private static final int MIN_WATCH_WAIT_MILLIS = 400;
     /**
-     * Longest wait of one watch call, in milliseconds. A connection that delivers nothing any more is detected when the
-     * wait and the timeout after it are over, which has to be sooner than operators expect a host to be current again.
+     * Part of the wait, as its divisor, by which waits differ at random. Otherwise the watches of all daemons end
+     * together after each change; a restore that only the answer of a watch shows is noticed sooner if they do not.
      */
-    static final int WATCH_WAIT_MILLIS = 1_400;
+    private static final int WAIT_SPREAD = 5;
     /** Wait of the first watch call after a failed call, in milliseconds. */
     static final int CATCH_UP_WAIT_MILLIS = 1;
     /** Time after the wait by which an answer is expected, in milliseconds; the adapter's timeout is longer. */
@@ -51,6 +65,20 @@
     private static final int MIN_BACKOFF_MILLIS = 100;
     /** Largest mean delay after failed calls, in milliseconds; not smaller because failed calls are charged, too. */
     private static final int MAX_BACKOFF_MILLIS = 800;
+    /**
+     * Mean delay after a failed call while a coordinator reports the store as unavailable, in milliseconds. The
+     * coordinators find earlier that it is back; the longest delay, half as long again, is within the time in which a
+     * configuration has to be in force, in case the store serves this daemon alone.
+     */
+    private static final int REPORTED_BACKOFF_MILLIS = 1_000;
+    /**
+     * Interval at which a copy that makes no calls checks whether those of another one succeed again, in milliseconds.
+     */
+    private static final int HELD_BACK_POLL_MILLIS = 100;
+    /** Longest time after a failed call for which the failures of another copy delay the next one, in milliseconds. */
+    private static final int HELD_BACK_MILLIS = 2_500;
+    /** Validity of a coordinator's report that the store is unavailable, in milliseconds: two pings and a margin. */
+    private static final int REPORT_MILLIS = 1_600;
 
     private static final Logger log = Logger.getLogger(WatchedPrefix.class);
 
@@ -61,19 +89,26 @@
     private final UniformRandomProvider random;
     private final ItemListener listener;
     private final PrefixCopy copy;
+    /** Longest wait of one watch call, in milliseconds. */
+    private final int watchWaitMillis;
 
     private BiConsumer<SharedStore.Changes, StorePosition> changeListener = (changes, after) -> {};
     private boolean rangeReadNeeded = true;
+    private boolean staleReadAllowed = true;
     private int failures;
     private double outageSince = -1;
     private double outageEndedAt = Double.NEGATIVE_INFINITY;
     private double restoredAt = Double.NEGATIVE_INFINITY;
     private double confirmedAt = Double.NEGATIVE_INFINITY;
+    private double confirmCallAt = Double.NEGATIVE_INFINITY;
     private double heardAt = Double.NEGATIVE_INFINITY;
     private double peerConfirmedUntil = Double.NEGATIVE_INFINITY;
+    private Optional<WatchedPrefix> triedBefore = Optional.empty();
+    private double failedAt = Double.NEGATIVE_INFINITY;
+    private double reportedUnavailableUntil = Double.NEGATIVE_INFINITY;
     private boolean closed;
 
-    /** Creates an empty copy; {@link #start} begins to fill it and reports each item to {@code listener}. */
+    /** Creates an empty copy as below, with a stable window of {@value #DEFAULT_STABLE_WINDOW_MILLIS} ms. */
     public WatchedPrefix(
             Vertx vertx,
             SharedStore store,
@@ -81,6 +116,28 @@
             Ticker ticker,
             UniformRandomProvider random,
             ItemListener listener) {
+        this(vertx, store, prefix, ticker, random, listener, DEFAULT_STABLE_WINDOW_MILLIS);
+    }
+
+    /**
+     * Creates an empty copy; {@link #start} begins to fill it and reports each item to {@code listener}.
+     *
+     * @param vertx runs the timers
+     * @param store the store
+     * @param prefix prefix of the keys of the items
+     * @param ticker the clock
+     * @param random spreads waits and delays
+     * @param listener is told of each change of the copy
+     * @param stableWindowMillis time within which a connection that delivers nothing has to be detected
+     */
+    public WatchedPrefix(
+            Vertx vertx,
+            SharedStore store,
+            String prefix,
+            Ticker ticker,
+            UniformRandomProvider random,
+            ItemListener listener,
+            int stableWindowMillis) {
         this.vertx = vertx;
         this.store = store;
         this.prefix = prefix;
@@ -88,6 +145,7 @@
         this.random = random;
         this.listener = listener;
         this.copy = new PrefixCopy(listener);
+        this.watchWaitMillis = Math.max(MIN_WATCH_WAIT_MILLIS, stableWindowMillis - DETECTION_MILLIS);
     }
 
     /** Sets the listener for changes reported by the store; it gets the point after which they are complete. */
@@ -125,9 +183,61 @@
         return copy.items();
     }
 
-    /** Returns whether the store itself confirmed the copy within the duration of one watch call. */
+    /**
+     * Returns whether this daemon watches the store, which confirmed the copy within the duration of one watch call.
+     */
     public boolean confirmed() {
-        return failures == 0 && ticker.millis() - confirmedAt <= WATCH_WAIT_MILLIS + WATCH_ANSWER_MARGIN_MILLIS;
+        return failures == 0
+                && !reliesOnPeer()
+                && ticker.millis() - confirmedAt <= watchWaitMillis + WATCH_ANSWER_MARGIN_MILLIS;
+    }
+
+    /**
+     * Confirms the copy by a watch call that does not wait, beside the watch in progress. A daemon that begins to watch
+     * for others calls this; otherwise all of them would watch until its own first watch is answered.
+     *
+     * @return completes when the copy is confirmed; fails if the store does not answer, or if no call is made: another
+     *     daemon watches, or such a call was made within the wait of a watch
+     */
+    public Future<Void> confirmNow() {
+        double now = ticker.millis();
+        if (closed || !isFilled() || failures > 0 || reliesOnPeer() || now - confirmCallAt < watchWaitMillis) {
+            return Future.failedFuture("no call is due");
+        }
+        confirmCallAt = now;
+        return store.watch(prefix, position(), CATCH_UP_WAIT_MILLIS).map(changes -> {
+            apply(changes);
+            return null;
+        });
+    }
+
+    private boolean reliesOnPeer() {
+        return peerConfirmedUntil > ticker.millis();
+    }
+
+    /**
+     * Sets a copy that finds out for this one whether the store is back: after a failed call, this copy waits for some
+     * time as long as the calls of {@code other} fail, too, or another daemon confirms that copy and so soon this one.
+     */
+    public void tryAfter(WatchedPrefix other) {
+        triedBefore = Optional.of(other);
+    }
+
+    private boolean isHeldBack() {
+        return failures > 0
+                && ticker.millis() - failedAt < HELD_BACK_MILLIS
+                && triedBefore
+                        .filter(other -> other.outageMillis() > 0 || other.reliesOnPeer())
+                        .isPresent();
+    }
+
+    private boolean isReportedUnavailable() {
+        return ticker.millis() < reportedUnavailableUntil;
+    }
+
+    /** Handles the report of a daemon that watches the store for this one that the store does not answer it. */
+    public void reportUnavailable() {
+        reportedUnavailableUntil = ticker.millis() + REPORT_MILLIS;
     }
 
     /** Returns the duration of the current store outage, in milliseconds; 0 if there is none. */
@@ -218,11 +328,24 @@
         double confirmedMillis = peerConfirmedUntil - ticker.millis();
         if (confirmedMillis > 0 && isFilled()) {
             vertx.setTimer((long) confirmedMillis + 1, timer -> startNextCall());
-        } else if (rangeReadNeeded) {
-            call(() -> store.range(prefix), this::rangeRead);
+        } else if (isHeldBack()) {
+            vertx.setTimer(HELD_BACK_POLL_MILLIS, timer -> startNextCall());
+        } else if (rangeReadNeeded || failures > 1) {
+            readRange();
+        } else {
+            call(() -> store.watch(prefix, position(), waitMillis()), this::apply);
+        }
+    }
+
+    private int waitMillis() {
+        return failures > 0 ? CATCH_UP_WAIT_MILLIS : watchWaitMillis - random.nextInt(watchWaitMillis / WAIT_SPREAD);
+    }
+
+    private void readRange() {
+        if (staleReadAllowed && !isFilled()) {
+            call(() -> store.staleRange(prefix), this::staleRangeRead);
         } else {
-            int waitMillis = failures > 0 ? CATCH_UP_WAIT_MILLIS : WATCH_WAIT_MILLIS;
-            call(() -> store.watch(prefix, position(), waitMillis), this::apply);
+            call(() -> store.range(prefix), this::rangeRead);
         }
     }
 
@@ -235,7 +358,7 @@
                 .compose(ignored -> call.get())
                 .onFailure(this::failed)
                 .onSuccess(answer -> {
-                    storeAnswered();
+                    answered("store");
                     Future.succeededFuture(answer)
                             .map(received -> {
                                 onAnswer.accept(received);
@@ -257,16 +380,21 @@
         vertx.setTimer(MAX_BACKOFF_MILLIS, timer -> startNextCall());
     }
 
-    private void rangeRead(SharedStore.Range range) {
-        rangeReadNeeded = false;
-        if (!position().isAfter(range.position())) {
+    /** A stale read without items has no position to watch from. */
+    private void staleRangeRead(SharedStore.Range range) {
+        staleReadAllowed = false;
+        if (!isFilled() && !range.items().isEmpty()) {
+            rangeReadNeeded = false;
             replace(range);
         }
     }
 
-    private void storeAnswered() {
+    private void rangeRead(SharedStore.Range range) {
         confirmedAt = ticker.millis();
-        answered("store");
+        rangeReadNeeded = false;
+        if (!position().isAfter(range.position())) {
+            replace(range);
+        }
     }
 
     /** Ends the outage, if there is one: the store has answered this daemon or a daemon that confirmed its copy. */
@@ -291,6 +419,7 @@
                     .with("revision", position().revision())
                     .info(log);
             rangeReadNeeded = true;
+            staleReadAllowed = false;
             startNextCall();
             return;
         }
@@ -303,9 +432,11 @@
                     .with("reason", cause)
                     .warn(log);
         }
-        int backoff = Math.min(MAX_BACKOFF_MILLIS, MIN_BACKOFF_MILLIS << Math.min(failures, 10));
+        failedAt = ticker.millis();
+        int backoff = isReportedUnavailable()
+                ? REPORTED_BACKOFF_MILLIS
+                : Math.min(MAX_BACKOFF_MILLIS, MIN_BACKOFF_MILLIS << Math.min(failures, 10));
         failures++;
-        rangeReadNeeded = rangeReadNeeded || failures > 1;
         vertx.setTimer(backoff / 2 + random.nextInt(backoff), timer -> startNextCall());
     }
 
@@ -323,6 +454,7 @@
     }
 
     private void apply(SharedStore.Changes changes) {
+        confirmedAt = ticker.millis();
         StorePosition before = copy.changedAt();
         copy.apply(changes);
         listener.current(this);
--- a/relay/src/test/java/org/endivehold/relay/state/FakeStore.java
+++ b/relay/src/test/java/org/endivehold/relay/state/FakeStore.java
@@ -20,6 +20,9 @@
     private long compactedRevision;
     private boolean down;
     private int ranges;
+    private int calls;
+    private int lastWaitMillis;
+    private Optional<Range> staleState = Optional.empty();
 
     private record Waiting(String prefix, StorePosition after, Promise<Changes> promise) {}
 
@@ -88,10 +91,25 @@
         all.forEach(each -> each.promise().fail(new EndiveholdException(type, each.after())));
     }
 
+    /** Answers stale reads with the items as of now. */
+    void holdStaleState() {
+        staleState = Optional.of(new Range(List.copyOf(items.values()), position()));
+    }
+
+    /** Returns the number of ranges and watches. */
+    int calls() {
+        return calls;
+    }
+
     int ranges() {
         return ranges;
     }
 
+    /** Returns the wait of the last watch call, in milliseconds. */
+    int lastWaitMillis() {
+        return lastWaitMillis;
+    }
+
     /** Returns the number of waiting watches. */
     int watches() {
         return waiting.size();
@@ -137,6 +155,7 @@
     @Override
     public Future<Range> range(String prefix) {
         ranges++;
+        calls++;
         if (down) {
             return unavailable();
         }
@@ -146,8 +165,18 @@
         return Future.succeededFuture(new Range(found, position()));
     }
 
+    @Override
+    public Future<Range> staleRange(String prefix) {
+        if (down || staleState.isEmpty()) {
+            return range(prefix);
+        }
+        return Future.succeededFuture(staleState.get());
+    }
+
     @Override
     public Future<Changes> watch(String prefix, StorePosition after, int waitMillis) {
+        calls++;
+        lastWaitMillis = waitMillis;
         if (down) {
             return unavailable();
         }
--- a/relay/src/test/java/org/endivehold/relay/state/WatchedPrefixTest.java
+++ b/relay/src/test/java/org/endivehold/relay/state/WatchedPrefixTest.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.apache.commons.rng.simple.RandomSource;
 import org.endivehold.misc.Ticker;
 import org.junit.jupiter.api.AfterEach;
@@ -25,6 +26,8 @@
 
 class WatchedPrefixTest {
     private static final int LIMIT_SECONDS = 10;
+    /** Time from the end of a watch's wait until the adapter gives the connection up, in milliseconds. */
+    private static final int ADAPTER_TIMEOUT_MILLIS = 600;
 
     private final Vertx vertx = Vertx.vertx();
     private final Context loop = vertx.getOrCreateContext();
@@ -33,24 +36,29 @@
     /** What the listener does before it handles an item, by key, or a new copy. */
     private final Map<String, Runnable> failures = new ConcurrentHashMap<>();
 
-    private final WatchedPrefix copy = new WatchedPrefix(
-            vertx, store, "s/", Ticker.system(), RandomSource.SPLIT_MIX_64.create(1), new ItemListener() {
-                @Override
-                public void written(SharedStore.Item item) {
-                    failures.getOrDefault(item.key(), () -> {}).run();
-                    events.add("+" + item.key() + "=" + item.value());
-                }
-
-                @Override
-                public void removed(String key) {
-                    events.add("-" + key);
-                }
-
-                @Override
-                public void current(WatchedPrefix copy) {
-                    failures.getOrDefault("current", () -> {}).run();
-                }
-            });
+    private final ItemListener listener = new ItemListener() {
+        @Override
+        public void written(SharedStore.Item item) {
+            failures.getOrDefault(item.key(), () -> {}).run();
+            events.add("+" + item.key() + "=" + item.value());
+        }
+
+        @Override
+        public void removed(String key) {
+            events.add("-" + key);
+        }
+
+        @Override
+        public void current(WatchedPrefix copy) {
+            failures.getOrDefault("current", () -> {}).run();
+        }
+    };
+    private final WatchedPrefix copy = copy(3_000);
+
+    private WatchedPrefix copy(int stableWindowMillis) {
+        return new WatchedPrefix(
+                vertx, store, "s/", Ticker.system(), RandomSource.SPLIT_MIX_64.create(1), listener, stableWindowMillis);
+    }
 
     @AfterEach
     void close() throws Exception {
@@ -87,6 +95,63 @@
         assertEquals(1, store.ranges());
     }
 
+    /** A connection that delivers nothing was noticed after the stable window, or watches were repeated too often. */
+    @ParameterizedTest
+    @ValueSource(ints = {3_000, 4_000, 5_000})
+    void aWatchAndItsTimeoutTakeMostOfTheStableWindow(int windowMillis) throws Exception {
+        store.write("s/a", "1");
+        WatchedPrefix watched = copy(windowMillis);
+        run(watched::start);
+        take(1);
+        for (int i = 0; i < 20; i++) {
+            run(store::completeWatches);
+            int noticedMillis = store.lastWaitMillis() + ADAPTER_TIMEOUT_MILLIS;
+            assertTrue(noticedMillis <= windowMillis && noticedMillis >= 0.8 * windowMillis, () -> "" + noticedMillis);
+        }
+    }
+
+    /** A daemon that starts reads a state before the last changes; they are not missed. */
+    @Test
+    void theWatchCorrectsAStaleFirstRead() throws Exception {
+        store.write("s/a", "1");
+        store.write("s/b", "1");
+        store.holdStaleState();
+        store.remove("s/a");
+        store.write("s/b", "2");
+        run(copy::start);
+        assertEquals(List.of("+s/a=1", "+s/b=1"), take(2).stream().sorted().toList());
+        assertEquals(List.of("-s/a", "+s/b=2"), take(2));
+        assertEquals(0, store.ranges());
+    }
+
+    /** The state that was read is older than the store's history: the copy would never be current. */
+    @Test
+    void readsAFreshRangeIfTheHistoryAfterAStaleReadIsGone() throws Exception {
+        store.write("s/a", "1");
+        store.holdStaleState();
+        store.write("s/a", "2");
+        store.compact();
+        run(copy::start);
+        assertEquals(List.of("+s/a=1", "+s/a=2"), take(2));
+        assertEquals(1, store.ranges());
+    }
+
+    /** A stale read put a removed item back although another daemon had supplied a newer copy before. */
+    @Test
+    void aStaleReadDoesNotReplaceANewerCopy() throws Exception {
+        store.write("s/a", "1");
+        store.holdStaleState();
+        store.remove("s/a");
+        store.write("s/c", "3");
+        SharedStore.Item item = new SharedStore.Item("s/c", Buffer.buffer("3"), store.position());
+        run(() -> {
+            copy.replaceIfNewer(new SharedStore.Range(List.of(item), store.position()), "peer");
+            copy.start();
+        });
+        run(() -> store.write("s/d", "4"));
+        assertEquals(List.of("+s/c=3", "+s/d=4"), take(2));
+    }
+
     @Test
     void readsTheRangeAgainWhenTheHistoryIsGone() throws Exception {
         store.write("s/a", "1");
@@ -290,6 +355,79 @@
         assertEquals(List.of("+s/c=3"), take(1), "the confirmation has expired");
     }
 
+    /**
+     * Each of many daemons called the store several times a second while the coordinators already knew that it is out.
+     */
+    @Test
+    void makesFewCallsWhileACoordinatorReportsTheStoreAsUnavailable() throws Exception {
+        store.write("s/a", "1");
+        run(copy::start);
+        take(1);
+        AtomicInteger before = new AtomicInteger();
+        run(() -> {
+            before.set(store.calls());
+            copy.reportUnavailable();
+            store.down(true);
+        });
+        Thread.sleep(400);
+        run(() -> {
+            assertEquals(before.get(), store.calls(), "the first delay is longer than without a report");
+            store.down(false);
+            store.write("s/b", "2");
+        });
+        assertEquals(List.of("+s/b=2"), take(1));
+    }
+
+    /** The copies of two prefixes each found out for themselves that the store is still out. */
+    @Test
+    void aSecondCopyWaitsForTheFirstOneInAReportedOutage() throws Exception {
+        store.write("s/a", "1");
+        WatchedPrefix second = copy(3_000);
+        second.tryAfter(copy);
+        run(copy::start);
+        run(second::start);
+        take(2);
+        run(() -> {
+            copy.reportUnavailable();
+            second.reportUnavailable();
+            store.down(true);
+        });
+        AtomicInteger before = new AtomicInteger();
+        run(() -> before.set(store.calls()));
+        for (int i = 0; i < 3; i++) {
+            Thread.sleep(1_000);
+            run(copy::reportUnavailable);
+            run(second::reportUnavailable);
+        }
+        run(() -> assertTrue(store.calls() - before.get() <= 7, () -> store.calls() - before.get() + " calls"));
+        run(() -> {
+            store.down(false);
+            store.write("s/b", "2");
+        });
+        assertEquals(List.of("+s/b=2", "+s/b=2"), take(2));
+    }
+
+    /** A confirmed copy needs no new read of its range when the confirmation ends. */
+    @Test
+    void aCopyThatAnotherDaemonConfirmedAfterAnOutageIsNotReadAgain() throws Exception {
+        store.write("s/a", "1");
+        run(copy::start);
+        take(1);
+        StorePosition known = copy.position();
+        run(() -> store.down(true));
+        Thread.sleep(600);
+        AtomicInteger ranges = new AtomicInteger();
+        run(() -> {
+            store.down(false);
+            assertTrue(copy.confirmByPeer(after(known, 0), known, 0));
+            ranges.set(store.ranges());
+        });
+        Thread.sleep(WatchedPrefix.PEER_CONFIRMATION_MILLIS + 300);
+        run(() -> store.write("s/b", "2"));
+        assertEquals(List.of("+s/b=2"), take(1));
+        assertEquals(ranges.get(), store.ranges());
+    }
+
     /** A daemon that was disconnected receives only the latest change. */
     @Test
     void reportsMissingChanges() throws Exception {
