Command start of the experiment tool: what a start of the packaged daemon costs

Cause: a start takes too much CPU time on small hosts, and nothing measured it repeatably.

LoopbackPlatform takes another configuration and a host for the metrics address.

--- a/bench/src/main/java/org/endivehold/bench/BenchTool.java
+++ b/bench/src/main/java/org/endivehold/bench/BenchTool.java
@@ -9,7 +9,7 @@
         name = "endivehold-bench",
         description = "Experiments with real daemons before stand-in engines, on loopback",
         defaultCommand = Help.class,
-        commands = {Help.class, RunCommand.class, SlopesCommand.class})
+        commands = {Help.class, RunCommand.class, SlopesCommand.class, StartCommand.class})
 public final class BenchTool {
     private static final int EXIT_USAGE = 2;
 
--- a/daemon/src/main/java/org/endivehold/daemon/entry/WarmUp.java
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/WarmUp.java
@@ -35,6 +35,7 @@
     /** Ports of two daemons: for callers, readiness, peers and metrics. */
     private static final int PORTS = 8;
 
+    private static final String HOST = "127.0.0.1";
     private static final long TIMEOUT_SECONDS = 20;
 
     private final Vertx vertx = EntryDaemon.createVertx();
@@ -55,9 +56,10 @@
         int callers = ports.next();
         int firstPeers = ports.next();
         int secondPeers = ports.next();
-        EntryDaemon first = daemon(platform.settings("first", callers, ports.next(), firstPeers, secondPeers), ports);
+        EntryDaemon first =
+                daemon(platform.settings("first", HOST, callers, ports.next(), firstPeers, secondPeers), ports);
         EntryDaemon second =
-                daemon(platform.settings("second", ports.next(), ports.next(), secondPeers, firstPeers), ports);
+                daemon(platform.settings("second", HOST, ports.next(), ports.next(), secondPeers, firstPeers), ports);
         await(first.start());
         await(second.start());
         for (int i = 0; i < ROUNDS; i++) {
