The start registers its logger and metrics with less work, and decodes a configuration once

Cause: the logging library's provider for the JDK defines levels of its own, for which the JDK links method handles; the JDK's log manager read logging.properties and created a console handler; the metrics registry was created before the ports opened; the document of a version in force was decoded again for each daemon that sent it.

Change: the packaged daemon logs through a provider of its own with the same lines and level names. A document whose bytes are those in force is not decoded again.

--- a/daemon/src/main/java/org/endivehold/daemon/entry/EntryDaemon.java
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/EntryDaemon.java
@@ -41,6 +41,7 @@
 import org.endivehold.relay.serve.CallerServer;
 import org.endivehold.relay.serve.ConnectionCheck;
 import org.endivehold.relay.serve.CrashMonitor;
+import org.endivehold.relay.serve.DeferredMeters;
 import org.endivehold.relay.serve.Dialect;
 import org.endivehold.relay.serve.EngineMemoryClient;
 import org.endivehold.relay.serve.HeldBodies;
@@ -144,7 +145,7 @@
                 new AvailabilityRecorder(fleet::markLeaving, availability, rateLimitExchange, ticker, mesh::spread);
         orders.onAnswer(recorder);
         registration = new Registration(vertx, store, decoder.daemonPrefix(), entry, settings, mesh);
-        PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+        DeferredMeters<PrometheusMeterRegistry> meters = new DeferredMeters<>(EntryDaemon::createRegistry);
         RelayBounds bounds = settings.bounds();
         HeldBodies bodies = HeldBodies.inHeap(Runtime.getRuntime().maxMemory());
         callers = new CallerServer(new RelayContext(
@@ -167,9 +168,9 @@
                 new RetryShare(bounds.retryRatio(), bounds.retrySlack(), bounds.retryWindowMillis()),
                 daemons,
                 bodies,
-                new RelayMetrics(registry, bodies)));
+                new RelayMetrics(meters, bodies)));
         dispatcher.onForwardOffer(callers::offered);
-        status = new StatusServer(vertx, settings, headerCodec.readinessPath(), registry, fleet::complete);
+        status = new StatusServer(vertx, settings, headerCodec.readinessPath(), meters, fleet::complete);
     }
 
     /** Creates a Vert.x instance with the single event loop that a daemon runs on. */
@@ -184,6 +185,10 @@
                 .setDisableTCCL(true));
     }
 
+    private static PrometheusMeterRegistry createRegistry() {
+        return new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    }
+
     private void sendToPeers(PeerMessage message) {
         mesh.broadcast(message);
     }
--- a/daemon/src/main/java/org/endivehold/daemon/entry/KeyValueFormatter.java
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/KeyValueFormatter.java
@@ -19,7 +19,7 @@
     public String format(LogRecord record) {
         StringBuilder line = new StringBuilder("time=");
         TIME.formatTo(Instant.ofEpochMilli(record.getMillis()), line);
-        line.append(" level=").append(record.getLevel().getName());
+        line.append(" level=").append(levelName(record));
         line.append(" logger=").append(simpleName(record.getLoggerName())).append(' ');
         line.append(formatMessage(record));
         if (record.getThrown() != null) {
@@ -28,6 +28,12 @@
         return line.append('\n').toString();
     }
 
+    private static String levelName(LogRecord record) {
+        return record instanceof EntryLogger.Line line
+                ? line.levelName()
+                : record.getLevel().getName();
+    }
+
     private static String simpleName(String logger) {
         return logger == null ? "-" : logger.substring(logger.lastIndexOf('.') + 1);
     }
--- a/daemon/src/main/java/org/endivehold/daemon/entry/StatusServer.java
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/StatusServer.java
@@ -6,6 +6,7 @@
 import io.vertx.core.http.HttpServerRequest;
 import java.util.function.BooleanSupplier;
 import org.endivehold.relay.RelaySettings;
+import org.endivehold.relay.serve.DeferredMeters;
 
 /** The HTTP servers for readiness checks of load balancers and for metrics. */
 final class StatusServer {
@@ -17,7 +18,7 @@
     private final Vertx vertx;
     private final RelaySettings settings;
     private final String readinessPath;
-    private final PrometheusMeterRegistry registry;
+    private final DeferredMeters<PrometheusMeterRegistry> meters;
     private final BooleanSupplier stateComplete;
     private boolean stopping;
 
@@ -25,12 +26,12 @@
             Vertx vertx,
             RelaySettings settings,
             String readinessPath,
-            PrometheusMeterRegistry registry,
+            DeferredMeters<PrometheusMeterRegistry> meters,
             BooleanSupplier stateComplete) {
         this.vertx = vertx;
         this.settings = settings;
         this.readinessPath = readinessPath;
-        this.registry = registry;
+        this.meters = meters;
         this.stateComplete = stateComplete;
     }
 
@@ -56,7 +57,9 @@
 
     private void metrics(HttpServerRequest request) {
         if (request.path().equals(METRICS_PATH)) {
-            request.response().putHeader("Content-Type", METRICS_TYPE).end(registry.scrape());
+            request.response()
+                    .putHeader("Content-Type", METRICS_TYPE)
+                    .end(meters.registry().scrape());
         } else {
             request.response().setStatusCode(404).end();
         }
--- a/relay/src/main/java/org/endivehold/relay/serve/RelayMetrics.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/RelayMetrics.java
@@ -21,47 +21,51 @@
         Duration.ofSeconds(10)
     };
 
-    private final MeterRegistry registry;
+    private final DeferredMeters<?> meters;
 
     /** Creates the metrics; those of requests are registered when they are first recorded. */
-    public RelayMetrics(MeterRegistry registry, HeldBodies bodies) {
-        this.registry = registry;
+    public RelayMetrics(DeferredMeters<?> meters, HeldBodies bodies) {
+        this.meters = meters;
         heldBytes("requests", bodies.requests());
         heldBytes("responses", bodies.responses());
     }
 
     private void heldBytes(String kind, HeldBytes held) {
-        Gauge.builder("endivehold.held.bytes", held, bytes -> (double) bytes.heldBytes())
+        meters.record(registry -> Gauge.builder("endivehold.held.bytes", held, bytes -> (double) bytes.heldBytes())
                 .tag("kind", kind)
-                .register(registry);
+                .register(registry));
     }
 
     /** Counts an ended request and records its duration; the status is 0 if the caller closed the connection. */
     void requestEnded(String route, String customer, int status, double millis) {
-        Counter.builder("endivehold.requests")
-                .tag("route", route)
-                .tag("status", Integer.toString(status))
-                .register(registry)
-                .increment();
-        record("endivehold.request.duration", route, customer, millis);
+        meters.record(registry -> {
+            Counter.builder("endivehold.requests")
+                    .tag("route", route)
+                    .tag("status", Integer.toString(status))
+                    .register(registry)
+                    .increment();
+            time(registry, "endivehold.request.duration", route, customer, millis);
+        });
     }
 
     /** Records the time from a request's arrival to the first event of its stream. */
     void firstEvent(String route, String customer, double millis) {
-        record("endivehold.first.event", route, customer, millis);
+        meters.record(registry -> time(registry, "endivehold.first.event", route, customer, millis));
     }
 
     /** Counts a retry by its cause. */
     void retried(String cause) {
-        registry.counter("endivehold.repeats", "cause", cause).increment();
+        meters.record(registry ->
+                registry.counter("endivehold.repeats", "cause", cause).increment());
     }
 
     /** Counts an offer of a request to another daemon, or a request that was sent by way of one, by its result. */
     void forwarded(String result) {
-        registry.counter("endivehold.forwarded", "result", result).increment();
+        meters.record(registry ->
+                registry.counter("endivehold.forwarded", "result", result).increment());
     }
 
-    private void record(String name, String route, String customer, double millis) {
+    private static void time(MeterRegistry registry, String name, String route, String customer, double millis) {
         Timer.builder(name)
                 .tag("route", route)
                 .tag("customer", customer)
--- a/relay/src/main/java/org/endivehold/relay/state/ConfigurationState.java
+++ b/relay/src/main/java/org/endivehold/relay/state/ConfigurationState.java
@@ -65,7 +65,11 @@
         offer(theirs, LogEvent.of("configuration-in-force").with("source", daemon));
     }
 
+    /** A document that is in force is not decoded again: it arrives from the store and from other daemons. */
     private void offer(Buffer offered, LogEvent inForce) {
+        if (offered.equals(document)) {
+            return;
+        }
         try {
             RoutingTable decoded = decoder.configuration(offered);
             if (table != null && decoded.version() < table.version()) {
--- a/relay/src/test/java/org/endivehold/relay/serve/RelayFixture.java
+++ b/relay/src/test/java/org/endivehold/relay/serve/RelayFixture.java
@@ -146,7 +146,7 @@
                 new RetryShare(1, 100, 10_000),
                 onlyDaemon,
                 bodies,
-                new RelayMetrics(new SimpleMeterRegistry(), bodies)));
+                new RelayMetrics(new DeferredMeters<>(SimpleMeterRegistry::new), bodies)));
         port = freePort();
         await(server.listen(SocketAddress.inetSocketAddress(port, "127.0.0.1")));
     }
