--- a/relay/src/main/java/org/endivehold/relay/route/TrafficClass.java
+++ b/relay/src/main/java/org/endivehold/relay/route/TrafficClass.java
@@ -37,4 +37,18 @@
     public double costFactor() {
         return 1 << (customerRank + routeRank);
     }
+
+    /** The methods that the compiler generates for records link method handles, which takes time at a start. */
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof TrafficClass that
+                && customer.equals(that.customer)
+                && customerRank == that.customerRank
+                && routeRank == that.routeRank;
+    }
+
+    @Override
+    public int hashCode() {
+        return (31 * customer.hashCode() + customerRank) * 31 + routeRank;
+    }
 }
--- a/relay/src/main/java/org/endivehold/relay/state/StorePosition.java
+++ b/relay/src/main/java/org/endivehold/relay/state/StorePosition.java
@@ -1,7 +1,5 @@
 package org.endivehold.relay.state;
 
-import java.util.Comparator;
-
 /**
  * A point in the history of the store.
  *
@@ -17,12 +15,21 @@
     /** Earlier than every point of the store's history. */
     public static final StorePosition NONE = new StorePosition(-1, -1);
 
-    private static final Comparator<StorePosition> ORDER =
-            Comparator.comparingLong(StorePosition::era).thenComparingLong(StorePosition::revision);
-
     @Override
     public int compareTo(StorePosition other) {
-        return ORDER.compare(this, other);
+        int eras = Long.compare(era, other.era);
+        return eras == 0 ? Long.compare(revision, other.revision) : eras;
+    }
+
+    /** The methods that the compiler generates for records link method handles, which takes time at a start. */
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof StorePosition that && era == that.era && revision == that.revision;
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * Long.hashCode(era) + Long.hashCode(revision);
     }
 
     /** Returns whether this point is later than another. */
