--- a/relay/src/test/java/org/endivehold/relay/state/ConfigurationStateTest.java
+++ b/relay/src/test/java/org/endivehold/relay/state/ConfigurationStateTest.java
@@ -16,12 +16,12 @@
     private final class CountingDecoder implements StoreDecoder {
         @Override
         public String operatorPrefix() {
-            return "op/";
+            return "operators/";
         }
 
         @Override
         public String upstreamPrefix() {
-            return "servers/";
+            return "upstreams/";
         }
 
         @Override
@@ -36,12 +36,12 @@
 
         @Override
         public String configurationKey() {
-            return "op/config";
+            return "operators/configuration";
         }
 
         @Override
         public String evacuatedZonePrefix() {
-            return "op/evacuate/";
+            return "operators/zones/";
         }
 
         @Override
