--- a/relay/src/main/java/org/endivehold/relay/serve/RelayMetrics.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/RelayMetrics.java
@@ -21,67 +21,74 @@
         Duration.ofSeconds(10)
     };
 
-    private final MeterRegistry registry;
+    private final DeferredMeters<?> meters;
 
     /** Creates the metrics; those of requests are registered when they are first recorded. */
-    public RelayMetrics(MeterRegistry registry, HeldBodies bodies) {
-        this.registry = registry;
+    public RelayMetrics(DeferredMeters<?> meters, HeldBodies bodies) {
+        this.meters = meters;
         heldBytes("requests", bodies.requests());
         heldBytes("responses", bodies.responses());
     }
 
     private void heldBytes(String kind, HeldBytes held) {
-        Gauge.builder("endivehold.held.bytes", held, bytes -> (double) bytes.heldBytes())
+        meters.record(registry -> Gauge.builder("endivehold.held.bytes", held, bytes -> (double) bytes.heldBytes())
                 .tag("kind", kind)
-                .register(registry);
+                .register(registry));
     }
 
     /** Counts an ended request and records its duration; the status is 0 if the caller closed the connection. */
     void requestEnded(String route, String customer, int status, double millis) {
-        Counter.builder("endivehold.requests")
-                .tag("route", route)
-                .tag("status", Integer.toString(status))
-                .register(registry)
-                .increment();
-        record("endivehold.request.duration", route, customer, millis);
+        meters.record(registry -> {
+            Counter.builder("endivehold.requests")
+                    .tag("route", route)
+                    .tag("status", Integer.toString(status))
+                    .register(registry)
+                    .increment();
+            time(registry, "endivehold.request.duration", route, customer, millis);
+        });
     }
 
     /** Records the time from a request's arrival to the first event of its stream. */
     void firstEvent(String route, String customer, double millis) {
-        record("endivehold.first.event", route, customer, millis);
+        meters.record(registry -> time(registry, "endivehold.first.event", route, customer, millis));
     }
 
     /** Counts a retry by its cause. */
     void retried(String cause) {
-        registry.counter("endivehold.repeats", "cause", cause).increment();
+        meters.record(registry ->
+                registry.counter("endivehold.repeats", "cause", cause).increment());
     }
 
     /** Counts an offer of a request to another daemon, or a request that was sent by way of one, by its result. */
     void forwarded(String result) {
-        registry.counter("endivehold.forwarded", "result", result).increment();
+        meters.record(registry ->
+                registry.counter("endivehold.forwarded", "result", result).increment());
     }
 
     /** Records the time for which a request waited for engines. */
     void waited(String route, String customer, double millis) {
-        record("endivehold.waiting", route, customer, millis);
+        meters.record(registry -> time(registry, "endivehold.waiting", route, customer, millis));
     }
 
     /** Counts a request that got no engines, by the reason. */
     void notPlaced(String reason) {
-        registry.counter("endivehold.refusals", "reason", reason).increment();
+        meters.record(registry ->
+                registry.counter("endivehold.refusals", "reason", reason).increment());
     }
 
     /** Adds the engine time that a customer's request is predicted to need, when it is first submitted. */
     void shareRequested(String customer, double engineMillis) {
-        registry.counter("endivehold.share.requested", "customer", customer).increment(engineMillis);
+        meters.record(registry -> registry.counter("endivehold.share.requested", "customer", customer)
+                .increment(engineMillis));
     }
 
     /** Adds the engine time that a customer's request is predicted to need, when it is sent to engines. */
     void shareReceived(String customer, double engineMillis) {
-        registry.counter("endivehold.share.received", "customer", customer).increment(engineMillis);
+        meters.record(registry -> registry.counter("endivehold.share.received", "customer", customer)
+                .increment(engineMillis));
     }
 
-    private void record(String name, String route, String customer, double millis) {
+    private static void time(MeterRegistry registry, String name, String route, String customer, double millis) {
         Timer.builder(name)
                 .tag("route", route)
                 .tag("customer", customer)
--- a/relay/src/test/java/org/endivehold/relay/serve/RelayFixture.java
+++ b/relay/src/test/java/org/endivehold/relay/serve/RelayFixture.java
@@ -147,7 +147,7 @@
                 new RetryShare(1, 100, 10_000),
                 onlyDaemon,
                 bodies,
-                new RelayMetrics(registry, bodies)));
+                new RelayMetrics(meters(registry), bodies)));
         port = freePort();
         await(server.listen(SocketAddress.inetSocketAddress(port, "127.0.0.1")));
     }
@@ -315,4 +315,11 @@
             upstream.close();
         }
     }
+
+    /** Returns meters that record in the registry at once, so that a test can read them there. */
+    private static DeferredMeters<SimpleMeterRegistry> meters(SimpleMeterRegistry registry) {
+        DeferredMeters<SimpleMeterRegistry> meters = new DeferredMeters<>(() -> registry);
+        meters.registry();
+        return meters;
+    }
 }
