Predict when the jobs at an engine give back memory and slots

Cause: room for a large prompt can only be planned if it is known when the jobs that hold memory are likely to end; JobTracker predicts this only roughly, to drop jobs of daemons that died.

Change: JobTracker.room returns the free memory and slots of an engine with the predicted releases, and JobTracker.predictedEnd the end of a request that is sent now. An end is the end of the prefill, then all passes of the longest answer with everything at the engine decoding, plus the prefills that interrupt it. The time of the first token is kept for this, so firstToken takes the time. A job that runs longer is predicted to need another 15% of its decoding time. The usable share of the memory moves to EngineLoad. Placements are unchanged.

--- a/relay/src/main/java/org/endivehold/relay/engine/EngineLoad.java
+++ b/relay/src/main/java/org/endivehold/relay/engine/EngineLoad.java
@@ -21,6 +21,9 @@
     /** Share of a prefill that is assumed to remain when it takes longer than predicted. */
     static final double OVERDUE_REMAINING_SHARE = 0.15;
 
+    /** Share of an engine's memory that requests may take in all. */
+    private static final double USABLE_MEMORY_SHARE = 0.97;
+
     private final Map<JobId, EngineTask> tasks = new HashMap<>();
     private final EngineProfile profile;
     private int decodingTasks;
@@ -117,6 +120,35 @@
         return sum;
     }
 
+    /** Returns the memory that all tasks together may take, in tokens. */
+    double usableTokens() {
+        return profile.memoryTokens() * USABLE_MEMORY_SHARE;
+    }
+
+    /**
+     * Predicts the time in which an answer is decoded, in milliseconds, with all tasks that are here decoding beside
+     * it.
+     */
+    double decodeMillis(long outputTokens) {
+        double passes = (double) outputTokens / profile.stepsPerPass() + 1;
+        return passes * profile.passMillis(Math.max(1, tasks.size()), memoryTokens());
+    }
+
+    /** Predicts the time until the prefill of a job is finished, in milliseconds; 0 if the job has none here. */
+    double untilPrefilledMillis(JobId id, double now) {
+        EngineTask task = tasks.get(id);
+        return task == null || task.decoding ? 0 : task.untilDoneMillis(now);
+    }
+
+    /** Returns the total length of what is left of the prefills, in milliseconds. */
+    double leftPrefillMillis(double now) {
+        double sum = 0;
+        for (EngineTask task : tasks.values()) {
+            sum += task.leftMillis(now);
+        }
+        return sum;
+    }
+
     /** Predicts the length of a pass without prefills, in milliseconds. */
     double passMillis() {
         return profile.passMillis(decodingTasks, decodingContextTokens);
--- a/relay/src/main/java/org/endivehold/relay/engine/EnginePlacement.java
+++ b/relay/src/main/java/org/endivehold/relay/engine/EnginePlacement.java
@@ -77,8 +77,6 @@
     private static final double SPLIT_CONTEXT_SHARE = 0.6;
     /** Tokens added to each part of a split context, since memory is allocated in blocks. */
     private static final long SPLIT_CONTEXT_MARGIN_TOKENS = 512;
-    /** Share of an engine's memory that requests may take in all. */
-    private static final double USABLE_MEMORY_SHARE = 0.97;
 
     private final JobTracker tracker;
     private final List<EngineCandidate> engines;
@@ -146,7 +144,7 @@
     private Optional<Placement> choose() {
         double tokens = need.memoryTokens();
         double capacity = profile().memoryTokens();
-        if (tokens <= capacity * USABLE_MEMORY_SHARE) {
+        if (tokens <= tracker.load(engines.get(0).id()).usableTokens()) {
             Placement unsplitContext = cheapest(0);
             if (unsplitContext != null || isShort()) {
                 return Optional.ofNullable(unsplitContext);
@@ -264,8 +262,7 @@
             cost += weight * OWN_PAUSE_WEIGHT * Lateness.of(pause + prefill, need.gapTargetMillis());
         }
         double prefilled = load.startDelayMillis(now, isSplit) * engine.slowdown() + prefill;
-        boolean hasMemory =
-                load.memoryTokens() + split.heldTokens() <= load.profile().memoryTokens() * USABLE_MEMORY_SHARE;
+        boolean hasMemory = load.memoryTokens() + split.heldTokens() <= load.usableTokens();
         int freeSlots = load.profile().slots() - load.usedSlots(engine.id());
         boolean mayDecode = hasMemory && freeSlots > 0;
         cost += freeSlots <= LAST_SLOTS ? weight * LAST_SLOT_COST / Math.max(1, freeSlots * freeSlots) : 0;
--- a/relay/src/main/java/org/endivehold/relay/engine/JobTracker.java
+++ b/relay/src/main/java/org/endivehold/relay/engine/JobTracker.java
@@ -30,6 +30,7 @@
         private final double slowdown;
         private double expiresAt;
         private boolean decoding;
+        private double decodingSince;
 
         Entry(EngineJob job, double placedAt, double slowdown) {
             this.job = job;
@@ -98,13 +99,21 @@
         return profile.prefillMillis(job.promptTokens(), job.engines().size()) + passes * load.passMillis();
     }
 
-    /** Records that a job produced its first token: its prefill is over at all its engines. */
-    public void firstToken(JobId id) {
+    /**
+     * Records that a job produced its first token: its prefill is over at all its engines.
+     *
+     * @param id id of the job
+     * @param now time in milliseconds
+     */
+    public void firstToken(JobId id, double now) {
         Entry entry = jobs.get(id);
         if (entry == null) {
             return;
         }
-        entry.decoding = true;
+        if (!entry.decoding) {
+            entry.decoding = true;
+            entry.decodingSince = now;
+        }
         for (String engine : entry.job.engines()) {
             EngineLoad load = loads.get(engine);
             if (load != null) {
@@ -186,6 +195,67 @@
         return load == null ? 0 : load.usedSlots(engine);
     }
 
+    /** Returns the room at an engine and when more of it is predicted to come free; empty if it is unknown. */
+    public Optional<EngineRoom> room(String engine, double now) {
+        EngineLoad load = loads.get(engine);
+        if (load == null) {
+            return Optional.empty();
+        }
+        List<PredictedRelease> releases = new ArrayList<>();
+        for (EngineTask task : load.tasks()) {
+            int slots = task.job.decodeEngine().equals(engine) ? 1 : 0;
+            if (slots > 0 || task.heldTokens > 0) {
+                releases.add(new PredictedRelease(predictedEnd(task.job.id(), now), task.heldTokens, slots));
+            }
+        }
+        double freeTokens = load.usableTokens() - load.memoryTokens();
+        int freeSlots = load.profile().slots() - load.usedSlots(engine);
+        return Optional.of(new EngineRoom(engine, freeTokens, freeSlots, releases));
+    }
+
+    /**
+     * Predicts when a job ends, in milliseconds. Its answer is assumed to have its maximum length. A job that runs
+     * longer than that is assumed to need another part of its decoding time, so that its end always lies ahead.
+     */
+    private double predictedEnd(JobId id, double now) {
+        Entry entry = jobs.get(id);
+        EngineLoad load = loads.get(entry.job.decodeEngine());
+        if (load == null) {
+            return Math.max(now, entry.expiresAt);
+        }
+        double decode = load.decodeMillis(entry.job.outputTokens()) * entry.slowdown;
+        if (entry.decoding) {
+            double least = EngineLoad.OVERDUE_REMAINING_SHARE * decode;
+            double left = entry.decodingSince + decode - now + load.leftPrefillMillis(now);
+            return now + Math.max(least, left);
+        }
+        double prefilled = 0;
+        for (String engine : entry.job.engines()) {
+            EngineLoad part = loads.get(engine);
+            prefilled = Math.max(prefilled, part == null ? 0 : part.untilPrefilledMillis(id, now));
+        }
+        return now + prefilled + decode;
+    }
+
+    /**
+     * Predicts when a request ends if it is sent to one engine now.
+     *
+     * @param engine id of the engine
+     * @param need the request
+     * @param slowdown how many times slower than its profile the engine is
+     * @param now time in milliseconds
+     * @return time in milliseconds; infinite if the engine is unknown
+     */
+    public double predictedEnd(String engine, PromptNeed need, double slowdown, double now) {
+        EngineLoad load = loads.get(engine);
+        if (load == null) {
+            return Double.POSITIVE_INFINITY;
+        }
+        double prefill = load.profile().prefillMillis(need.promptTokens(), 1);
+        double decode = load.decodeMillis(need.outputTokens());
+        return now + (load.startDelayMillis(now, false) + prefill + decode) * slowdown;
+    }
+
     /** Returns the total length of the prefills that are not finished at an engine, in milliseconds. */
     public double pendingPrefillMillis(String engine) {
         EngineLoad load = loads.get(engine);
--- a/relay/src/main/java/org/endivehold/relay/schedule/JobReplicator.java
+++ b/relay/src/main/java/org/endivehold/relay/schedule/JobReplicator.java
@@ -74,7 +74,7 @@
 
     /** Notes that a request produced its first event. */
     public void firstToken(EngineJob job) {
-        tracker.firstToken(job.id());
+        tracker.firstToken(job.id(), (double) ticker.millis());
         peers.accept(new PeerMessage.JobDecoding(job.id()));
         listeners.forEach(Runnable::run);
     }
@@ -120,10 +120,10 @@
         if (message instanceof PeerMessage.JobPlaced placed) {
             tracker.add(placed.job(), (double) ticker.millis(), 1);
             if (placed.decoding()) {
-                tracker.firstToken(placed.job().id());
+                tracker.firstToken(placed.job().id(), (double) ticker.millis());
             }
         } else if (message instanceof PeerMessage.JobDecoding decoding) {
-            tracker.firstToken(decoding.id());
+            tracker.firstToken(decoding.id(), (double) ticker.millis());
         } else if (message instanceof PeerMessage.JobEnded ended) {
             tracker.remove(ended.id());
             listeners.forEach(Runnable::run);
--- a/relay/src/test/java/org/endivehold/relay/engine/EnginePlacementTest.java
+++ b/relay/src/test/java/org/endivehold/relay/engine/EnginePlacementTest.java
@@ -64,7 +64,7 @@
         PromptNeed decoding = SHORT.withTraffic(new TrafficClass("", 0, routeRank));
         for (int i = 0; i < 28; i++) {
             place(decoding, i * 60);
-            tracker.firstToken(new JobId("daemon", i));
+            tracker.firstToken(new JobId("daemon", i), i * 60);
         }
         PromptNeed patient = new PromptNeed(182_000, 650, 6_000, 1_000, 0, 15_000);
         Placement placement =
@@ -85,7 +85,7 @@
         for (int i = 0; i < 40; i++) {
             double now = i * 45;
             Placement placement = place(SHORT, now);
-            tracker.firstToken(new JobId("daemon", nextNumber - 1));
+            tracker.firstToken(new JobId("daemon", nextNumber - 1), now);
             used.add(placement.engines().get(0));
             assertTrue(placement.firstTokenMillis() < 200, () -> "first token after " + placement.firstTokenMillis());
         }
@@ -108,7 +108,7 @@
         Set<String> shortEngines = new HashSet<>();
         for (int i = 0; i < 30; i++) {
             shortEngines.add(place(SHORT, i * 45).engines().get(0));
-            tracker.firstToken(new JobId("daemon", nextNumber - 1));
+            tracker.firstToken(new JobId("daemon", nextNumber - 1), i * 45);
         }
         Placement placement = place(LONG, 2_000);
         double partMillis =
@@ -144,7 +144,7 @@
         registerEngines(1);
         for (int i = 0; i < PROFILE.slots(); i++) {
             place(SHORT, i * 100);
-            tracker.firstToken(new JobId("daemon", nextNumber - 1));
+            tracker.firstToken(new JobId("daemon", nextNumber - 1), i * 100);
         }
         assertEquals(Optional.empty(), EnginePlacement.place(tracker, engines, SHORT, 2_000));
         tracker.remove(new JobId("daemon", 0));
@@ -186,7 +186,7 @@
         int maxUsed = 0;
         for (int i = 0; i < 2 * PROFILE.slots(); i++) {
             place(SHORT, i * 60);
-            tracker.firstToken(new JobId("daemon", nextNumber - 1));
+            tracker.firstToken(new JobId("daemon", nextNumber - 1), i * 60);
         }
         for (EngineCandidate engine : engines) {
             maxUsed = Math.max(maxUsed, tracker.usedSlots(engine.id()));
@@ -203,7 +203,7 @@
                 new EngineJob(new JobId("other", 2), List.of("engine-0"), List.of(5_000L), 5_000, 100, 300, 250);
         tracker.add(prefilling, 0, 1);
         tracker.add(decoding, 0, 1);
-        tracker.firstToken(decoding.id());
+        tracker.firstToken(decoding.id(), 0);
         registerEngines(2);
         assertEquals(2, tracker.usedSlots("engine-0"));
         assertTrue(tracker.load("engine-0").passMillis() > 2 * PROFILE.stepMillis());
--- a/relay/src/test/java/org/endivehold/relay/engine/StaleViewsTest.java
+++ b/relay/src/test/java/org/endivehold/relay/engine/StaleViewsTest.java
@@ -84,7 +84,7 @@
             PlacedJob next = undelivered.removeFirst();
             for (JobTracker tracker : trackers) {
                 tracker.add(next.job(), next.at(), 1);
-                tracker.firstToken(next.job().id());
+                tracker.firstToken(next.job().id(), next.at());
             }
         }
     }
--- a/relay/src/test/java/org/endivehold/relay/simulation/SimulatedDaemon.java
+++ b/relay/src/test/java/org/endivehold/relay/simulation/SimulatedDaemon.java
@@ -55,8 +55,9 @@
     /** A request produced its first event. */
     void firstEvent(SimulatedRequest request) {
         JobId id = request.job().id();
-        tracker.firstToken(id);
-        broadcast(other -> other.tracker.firstToken(id));
+        double now = simulation.time().now();
+        tracker.firstToken(id, now);
+        broadcast(other -> other.tracker.firstToken(id, now));
         scheduleTurn();
     }
 
