--- a/relay/src/main/java/org/endivehold/relay/engine/EngineLoad.java
+++ b/relay/src/main/java/org/endivehold/relay/engine/EngineLoad.java
@@ -122,6 +122,11 @@
 
     /** Returns the memory that all tasks together may take, in tokens. */
     double usableTokens() {
+        return usableTokens(profile);
+    }
+
+    /** Returns the memory of an engine that requests may take in all, in tokens. */
+    static double usableTokens(EngineProfile profile) {
         return profile.memoryTokens() * USABLE_MEMORY_SHARE;
     }
 
--- a/relay/src/main/java/org/endivehold/relay/engine/EnginePlacement.java
+++ b/relay/src/main/java/org/endivehold/relay/engine/EnginePlacement.java
@@ -141,20 +141,36 @@
         return MurmurHash3.hash32x86(id.getBytes(StandardCharsets.UTF_8));
     }
 
-    private Optional<Placement> choose() {
-        double tokens = need.memoryTokens();
-        double capacity = profile().memoryTokens();
-        if (tokens <= tracker.load(engines.get(0).id()).usableTokens()) {
-            Placement unsplitContext = cheapest(0);
-            if (unsplitContext != null || isShort()) {
-                return Optional.ofNullable(unsplitContext);
+    /**
+     * Returns the ways of dividing a request's context, in the order in which they are tried: undivided if it fits into
+     * one engine, then among as few engines as possible. A short prompt that fits into one engine is not divided.
+     *
+     * @param need the request
+     * @param profile profile of the engines
+     * @param engines number of engines that may be used
+     * @return the ways; empty if the engines are too few
+     */
+    public static List<ContextSplit> contextSplits(PromptNeed need, EngineProfile profile, int engines) {
+        long tokens = need.memoryTokens();
+        List<ContextSplit> splits = new ArrayList<>();
+        if (tokens <= EngineLoad.usableTokens(profile)) {
+            splits.add(new ContextSplit(1, tokens));
+            if (isShort(need, profile)) {
+                return splits;
             }
         }
-        int fewest = Math.max(1, (int) Math.ceil(tokens / (capacity * SPLIT_CONTEXT_SHARE)) - 1);
-        for (int helpers = fewest; helpers <= Math.min(MAX_CACHE_HELPERS, engines.size() - 1); helpers++) {
-            Placement splitContext = cheapest(helpers);
-            if (splitContext != null) {
-                return Optional.of(splitContext);
+        int fewest = Math.max(1, (int) Math.ceil(tokens / (profile.memoryTokens() * SPLIT_CONTEXT_SHARE)) - 1);
+        for (int helpers = fewest; helpers <= Math.min(MAX_CACHE_HELPERS, engines - 1); helpers++) {
+            splits.add(new ContextSplit(helpers + 1, tokens / (helpers + 1) + SPLIT_CONTEXT_MARGIN_TOKENS));
+        }
+        return splits;
+    }
+
+    private Optional<Placement> choose() {
+        for (ContextSplit context : contextSplits(need, profile(), engines.size())) {
+            Placement placement = cheapest(context);
+            if (placement != null) {
+                return Optional.of(placement);
             }
         }
         return Optional.empty();
@@ -165,18 +181,21 @@
     }
 
     private boolean isShort() {
-        return profile().prefillMillis(need.promptTokens(), 1) <= SHORT_PREFILL_MILLIS;
+        return isShort(need, profile());
+    }
+
+    private static boolean isShort(PromptNeed need, EngineProfile profile) {
+        return profile.prefillMillis(need.promptTokens(), 1) <= SHORT_PREFILL_MILLIS;
     }
 
     /**
-     * Returns the cheapest placement for a given number of helpers that hold a part of the context; null if there is
-     * none. A short prompt is not split further than its context.
+     * Returns the cheapest placement for a given split of the context; null if there is none. A short prompt is not
+     * split further than its context.
      */
-    private Placement cheapest(int cacheHelpers) {
-        long held = need.memoryTokens() / (cacheHelpers + 1) + (cacheHelpers > 0 ? SPLIT_CONTEXT_MARGIN_TOKENS : 0);
+    private Placement cheapest(ContextSplit context) {
         Placement best = null;
-        for (int parts = cacheHelpers + 1; parts <= Math.min(MAX_PARTS, engines.size()); parts = nextParts(parts)) {
-            Placement placement = placeSplit(new Split(parts, cacheHelpers, held));
+        for (int parts = context.engines(); parts <= Math.min(MAX_PARTS, engines.size()); parts = nextParts(parts)) {
+            Placement placement = placeSplit(new Split(parts, context.engines() - 1, context.heldTokens()));
             if (placement != null && (best == null || placement.cost() < best.cost())) {
                 best = placement;
             }
--- a/relay/src/main/java/org/endivehold/relay/engine/EngineRoom.java
+++ b/relay/src/main/java/org/endivehold/relay/engine/EngineRoom.java
@@ -44,7 +44,7 @@
      * @return the time in milliseconds, {@code now} if they are free; infinite if they do not come free with the jobs
      *     that are known
      */
-    public double freeAtMillis(double tokens, int slots, double now) {
+    public double freeAtMillis(long tokens, int slots, double now) {
         double memory = freeTokens;
         int free = freeSlots;
         double time = now;
--- a/relay/src/main/java/org/endivehold/relay/engine/StartRule.java
+++ b/relay/src/main/java/org/endivehold/relay/engine/StartRule.java
@@ -63,8 +63,20 @@
      * @return whether waiting any longer is of no use
      */
     public static boolean shouldRefuse(double prefillMillis, PromptNeed need) {
-        boolean late = need.elapsedMillis() > Math.max(MIN_WAIT_MILLIS, need.firstEventTargetMillis());
-        return late || need.eventBudgetMillis() < Math.max(MIN_EVENT_MILLIS, prefillMillis / BEST_CASE_PARTS);
+        return maxWaitMillis(prefillMillis, need) < 0;
+    }
+
+    /**
+     * Returns how much longer a request may wait before it should be refused.
+     *
+     * @param prefillMillis time in which one engine alone prefills the prompt
+     * @param need the request
+     * @return milliseconds; negative if it should be refused now
+     */
+    public static double maxWaitMillis(double prefillMillis, PromptNeed need) {
+        double untilLate = Math.max(MIN_WAIT_MILLIS, need.firstEventTargetMillis()) - need.elapsedMillis();
+        double untilUseless = need.eventBudgetMillis() - Math.max(MIN_EVENT_MILLIS, prefillMillis / BEST_CASE_PARTS);
+        return Math.min(untilLate, untilUseless);
     }
 
     /**
