Let placements leave room that is kept for another request

Cause: a claim of room has an effect only if placements of other requests leave it.

Change: EngineCandidate has memory and slots that are kept for another request; EnginePlacement counts them as taken. Without any, placements are as before.

--- a/relay/src/main/java/org/endivehold/relay/engine/EnginePlacement.java
+++ b/relay/src/main/java/org/endivehold/relay/engine/EnginePlacement.java
@@ -281,8 +281,9 @@
             cost += weight * OWN_PAUSE_WEIGHT * Lateness.of(pause + prefill, need.gapTargetMillis());
         }
         double prefilled = load.startDelayMillis(now, isSplit) * engine.slowdown() + prefill;
-        boolean hasMemory = load.memoryTokens() + split.heldTokens() <= load.usableTokens();
-        int freeSlots = load.profile().slots() - load.usedSlots(engine.id());
+        double taken = load.memoryTokens() + engine.claimedTokens();
+        boolean hasMemory = taken + split.heldTokens() <= load.usableTokens();
+        int freeSlots = load.profile().slots() - load.usedSlots(engine.id()) - engine.claimedSlots();
         boolean mayDecode = hasMemory && freeSlots > 0;
         cost += freeSlots <= LAST_SLOTS ? weight * LAST_SLOT_COST / Math.max(1, freeSlots * freeSlots) : 0;
         return new EngineOption(engine, prefilled, cost, hasMemory, mayDecode);
--- a/relay/src/test/java/org/endivehold/relay/engine/EnginePlacementTest.java
+++ b/relay/src/test/java/org/endivehold/relay/engine/EnginePlacementTest.java
@@ -212,4 +212,27 @@
         tracker.remove(decoding.id());
         assertEquals(0, tracker.usedSlots("engine-0"));
     }
+
+    /** Short prompts took the memory and the slots that were kept for a long one. */
+    @Test
+    void roomThatIsKeptForAnotherRequestIsNotUsed() {
+        registerEngines(2);
+        long usable = (long) (PROFILE.memoryTokens() * 0.97);
+        engines.set(0, engines.get(0).without(usable - SHORT.memoryTokens() + 1, 0));
+        engines.set(1, engines.get(1).without(0, PROFILE.slots()));
+        assertEquals(Optional.empty(), EnginePlacement.place(tracker, engines, SHORT, 0));
+        engines.set(0, engines.get(0).without(usable - SHORT.memoryTokens(), PROFILE.slots() - 1));
+        assertEquals(List.of("engine-0"), place(SHORT, 0).engines());
+    }
+
+    /** A claim counted on another way of dividing the context than the placement that was to use it. */
+    @Test
+    void aPlacementHoldsTheContextAsItsSplitSays() {
+        registerEngines(3);
+        Placement placement = place(GIANT, 0);
+        List<ContextSplit> splits = EnginePlacement.contextSplits(GIANT, PROFILE, 3);
+        long holders =
+                placement.heldTokens().stream().filter(tokens -> tokens > 0).count();
+        assertEquals(new ContextSplit((int) holders, placement.heldTokens().get(0)), splits.get(0));
+    }
 }
