Keep room for large requests that wait in the local scheduler

Cause: the planner of room had no effect.

Change: PlannedRoom implements RoomClaims, the hook of LocalScheduler. After each turn it reviews the claim of a service and plans room for the first request in order that could not be placed, has a class other than the default and needs more than a fifth of an engine's memory. The request that has the claim is tried before the others, so that it does not miss its room while another one of its group gets the searches. A request whose room comes free only after the time at which it would be refused anyway is refused at once. Log events room-claimed, room-used and room-released.

--- a/relay/src/main/java/org/endivehold/relay/room/ClaimEnd.java
+++ b/relay/src/main/java/org/endivehold/relay/room/ClaimEnd.java
@@ -4,10 +4,8 @@
 public enum ClaimEnd {
     /** Its request was placed. */
     PLACED,
-    /** Its request was refused. */
-    REFUSED,
-    /** Its request was withdrawn, or its daemon was lost. */
-    WITHDRAWN,
+    /** Its request was refused or withdrawn, or the daemon that submitted it was lost. */
+    NOT_WAITING,
     /** One of its engines left, is evacuated or fails. */
     ENGINE_GONE,
     /** Its room did not come free in time. */
--- a/relay/src/main/java/org/endivehold/relay/room/RoomPlanner.java
+++ b/relay/src/main/java/org/endivehold/relay/room/RoomPlanner.java
@@ -1,12 +1,10 @@
 package org.endivehold.relay.room;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.Predicate;
 import org.endivehold.relay.engine.EngineRoom;
 import org.endivehold.relay.engine.JobId;
 
@@ -113,19 +111,7 @@
 
     /** Ends the claim of a request that does not wait any more; has no effect if it has none. */
     public void requestEnded(JobId id, ClaimEnd reason, double now) {
-        requestsEnded(id::equals, reason, now);
-    }
-
-    /** Ends the claims of requests that do not wait any more. */
-    public void requestsEnded(Predicate<JobId> ended, ClaimEnd reason, double now) {
-        if (claims.isEmpty()) {
-            return;
-        }
-        for (RoomClaim claim : new ArrayList<>(claims.values())) {
-            if (ended.test(claim.request())) {
-                end(claim, reason, now);
-            }
-        }
+        claims().stream().filter(claim -> claim.request().equals(id)).forEach(claim -> end(claim, reason, now));
     }
 
     private void end(RoomClaim claim, ClaimEnd reason, double now) {
@@ -138,6 +124,11 @@
         return List.copyOf(claims.values());
     }
 
+    /** Returns whether a request has a claim. */
+    public boolean hasClaim(JobId id) {
+        return claims.values().stream().anyMatch(claim -> claim.request().equals(id));
+    }
+
     /** Returns whether room at an engine is claimed for another request than the given one. */
     public boolean withholds(String service, JobId request, String engine) {
         RoomClaim claim = claims.get(service);
--- a/relay/src/main/java/org/endivehold/relay/schedule/Backlog.java
+++ b/relay/src/main/java/org/endivehold/relay/schedule/Backlog.java
@@ -40,6 +40,11 @@
         /** Searches engines for a request and sends it there; returns whether it was placed. */
         boolean tryPlace(WaitingRequest entry);
 
+        /** Returns whether room may be kept for a request that was not placed. */
+        default boolean mayClaimRoom(WaitingRequest entry) {
+            return true;
+        }
+
         /** Returns whether it is of no use that a request waits any longer. */
         boolean shouldRefuse(WaitingRequest entry);
 
@@ -98,13 +103,21 @@
     }
 
     /**
-     * Returns the first request of a service, in the order of the last turn, for which that turn searched engines
-     * without success; empty if there is none or it is not waiting any more.
+     * Returns the first request of a service, in the order of the last turn, that may claim room and for which that
+     * turn searched engines without success; empty if there is none or it is not waiting any more.
      */
     public Optional<WaitingRequest> firstUnplaced(String service) {
         return Optional.ofNullable(firstUnplaced.get(service));
     }
 
+    /** Searches engines for one request, ahead of the turn of all; has no effect if it is not waiting. */
+    void tryFirst(JobId id, Decisions decisions) {
+        WaitingRequest entry = waiting.get(id);
+        if (entry != null && decisions.tryPlace(entry)) {
+            remove(id);
+        }
+    }
+
     /**
      * Searches engines for the first requests in order and refuses those for which waiting is of no use. Requests may
      * be added and removed meanwhile; those added are considered in the next turn.
@@ -136,7 +149,9 @@
                 return;
             }
             budget.searchFailed(group);
-            firstUnplaced.putIfAbsent(entry.request().service(), entry);
+            if (decisions.mayClaimRoom(entry)) {
+                firstUnplaced.putIfAbsent(entry.request().service(), entry);
+            }
         }
         if (budget.hasFailed(group) && decisions.shouldRefuse(entry) && remove(entry.id())) {
             decisions.refuse(entry);
--- a/relay/src/main/java/org/endivehold/relay/schedule/LocalScheduler.java
+++ b/relay/src/main/java/org/endivehold/relay/schedule/LocalScheduler.java
@@ -14,6 +14,7 @@
 import org.endivehold.relay.engine.PromptNeed;
 import org.endivehold.relay.engine.StartRule;
 import org.endivehold.relay.limit.UpstreamHealth;
+import org.endivehold.relay.room.LoggedClaims;
 import org.endivehold.relay.route.EngineProfile;
 import org.endivehold.relay.route.RelayService;
 import org.endivehold.relay.state.FleetView;
@@ -43,7 +44,7 @@
     private final CandidateFinder finder;
     private final Backlog backlog = new Backlog(MAX_WAITING);
     private final Backlog.Decisions decisions = new TurnDecisions();
-    private RoomClaims claims = RoomClaims.NONE;
+    private final RoomClaims claims;
     private boolean scheduled;
 
     /** Creates a scheduler without requests. */
@@ -62,14 +63,11 @@
         this.health = health;
         this.jobs = jobs;
         this.finder = new CandidateFinder(fleet, health, jobs, division, ticker);
+        this.claims = new PlannedRoom(
+                jobs.tracker(), entry -> finder.candidates(entry.request(), entry.profile()), new LoggedClaims());
         jobs.onCapacityFreed(this::capacityFreed);
     }
 
-    /** Keeps room free for waiting requests as decided by these claims. */
-    public void setClaims(RoomClaims value) {
-        claims = value;
-    }
-
     @Override
     public void submit(EngineRequest request, Listener listener) {
         Optional<EngineProfile> profile = profile(request.service());
@@ -92,7 +90,7 @@
     @Override
     public void withdraw(JobId id) {
         if (backlog.remove(id)) {
-            claims.removed(id);
+            claims.removed(id, now());
         }
     }
 
@@ -160,24 +158,38 @@
     private void runTurn() {
         scheduled = false;
         Set<String> services = backlog.services();
+        claims.claimants().forEach(id -> backlog.tryFirst(id, decisions));
         backlog.runTurn(decisions);
-        services.forEach(service -> claims.turnEnded(service, backlog.firstUnplaced(service), now()));
+        services.forEach(this::planRoom);
         if (backlog.size() > 0) {
             scheduleTurn(RETRY_MILLIS);
         }
     }
 
+    /** Keeps room for the first request that the turn could not place, or refuses it if room comes free too late. */
+    private void planRoom(String service) {
+        Optional<WaitingRequest> first = backlog.firstUnplaced(service);
+        if (claims.turnEnded(service, first, now())) {
+            first.filter(entry -> backlog.remove(entry.id())).ifPresent(decisions::refuse);
+        }
+    }
+
     /** Decides on the requests of a turn by the tracked jobs and the {@link StartRule}. */
     private final class TurnDecisions implements Backlog.Decisions {
         @Override
         public boolean tryPlace(WaitingRequest entry) {
             boolean placed = LocalScheduler.this.tryPlace(entry);
             if (placed) {
-                claims.removed(entry.id());
+                claims.removed(entry.id(), now());
             }
             return placed;
         }
 
+        @Override
+        public boolean mayClaimRoom(WaitingRequest entry) {
+            return claims.mayClaim(entry);
+        }
+
         @Override
         public boolean shouldRefuse(WaitingRequest entry) {
             return StartRule.shouldRefuse(entry.prefillMillis(), entry.need(now()));
@@ -185,7 +197,7 @@
 
         @Override
         public void refuse(WaitingRequest entry) {
-            claims.removed(entry.id());
+            claims.removed(entry.id(), now());
             entry.listener().refused(retryAfterMillis(entry.need(now())));
         }
     }
--- a/relay/src/main/java/org/endivehold/relay/schedule/RoomClaims.java
+++ b/relay/src/main/java/org/endivehold/relay/schedule/RoomClaims.java
@@ -7,20 +7,6 @@
 
 /** Room at engines that is kept free for a waiting request, and is not available to others. */
 public interface RoomClaims {
-    /** No room is kept free for anyone. */
-    RoomClaims NONE = new RoomClaims() {
-        @Override
-        public List<EngineCandidate> available(EngineRequest request, List<EngineCandidate> candidates, double now) {
-            return candidates;
-        }
-
-        @Override
-        public void turnEnded(String service, Optional<WaitingRequest> firstUnplaced, double now) {}
-
-        @Override
-        public void removed(JobId id) {}
-    };
-
     /**
      * Returns the candidates for a request, less the room that is kept free for other requests.
      *
@@ -30,15 +16,22 @@
      */
     List<EngineCandidate> available(EngineRequest request, List<EngineCandidate> candidates, double now);
 
+    /** Returns whether room may be kept for such a request. */
+    boolean mayClaim(WaitingRequest entry);
+
+    /** Returns the requests for which room is kept: they are tried before the others, so that it is used when free. */
+    List<JobId> claimants();
+
     /**
      * Notes the end of a turn of the waiting requests.
      *
      * @param service a service that had waiting requests at the beginning of the turn
-     * @param firstUnplaced the first request in order for which the turn found no engines
+     * @param firstUnplaced the first request in order that may claim room and for which the turn found no engines
      * @param now time in milliseconds
+     * @return whether this request should be refused, since room for it comes free too late
      */
-    void turnEnded(String service, Optional<WaitingRequest> firstUnplaced, double now);
+    boolean turnEnded(String service, Optional<WaitingRequest> firstUnplaced, double now);
 
     /** Notes that a request is not waiting any more: it was placed, refused or withdrawn. */
-    void removed(JobId id);
+    void removed(JobId id, double now);
 }
--- a/relay/src/test/java/org/endivehold/relay/room/RoomModel.java
+++ b/relay/src/test/java/org/endivehold/relay/room/RoomModel.java
@@ -113,7 +113,7 @@
         if (planner.plan(request(entry), rooms, now) == RoomPlanner.Decision.REFUSE) {
             waiting.remove(entry);
             refused.add(entry);
-            planner.requestEnded(entry.id(), ClaimEnd.REFUSED, now);
+            planner.requestEnded(entry.id(), ClaimEnd.NOT_WAITING, now);
         }
     }
 
--- a/relay/src/test/java/org/endivehold/relay/room/RoomPlannerTest.java
+++ b/relay/src/test/java/org/endivehold/relay/room/RoomPlannerTest.java
@@ -134,7 +134,7 @@
         planner.plan(request(2, 140_000), List.of(example(30_000)), 0);
         planner.plan(request(1, 130_000), List.of(example(30_000)), 100);
         assertEquals(List.of("made 1"), events);
-        planner.requestEnded(new JobId("d", 2), ClaimEnd.WITHDRAWN, 100);
+        planner.requestEnded(new JobId("d", 2), ClaimEnd.NOT_WAITING, 100);
         planner.requestEnded(new JobId("d", 1), ClaimEnd.PLACED, 100);
         planner.plan(request(2, 140_000), List.of(example(30_000)), 200);
         assertEquals(List.of("made 1", "PLACED 1", "made 2"), events);
@@ -191,10 +191,10 @@
     }
 
     @Test
-    void theClaimsOfALostDaemonEnd() {
+    void theClaimOfARequestThatIsWithdrawnEnds() {
         planner.plan(request(1, 130_000), List.of(example(30_000)), 0);
-        planner.requestsEnded(id -> id.daemon().equals("d"), ClaimEnd.WITHDRAWN, 100);
-        assertEquals(List.of("made 1", "WITHDRAWN 1"), events);
+        planner.requestEnded(new JobId("d", 1), ClaimEnd.NOT_WAITING, 100);
+        assertEquals(List.of("made 1", "NOT_WAITING 1"), events);
         assertEquals(List.of(), planner.claims());
     }
 
