--- a/relay/src/main/java/org/endivehold/relay/engine/EngineLoad.java
+++ b/relay/src/main/java/org/endivehold/relay/engine/EngineLoad.java
@@ -25,6 +25,7 @@
     private static final double USABLE_MEMORY_SHARE = 0.97;
 
     private final Map<JobId, EngineTask> tasks = new HashMap<>();
+    private final PartLoad prefillLoad = new PartLoad();
     private final EngineProfile profile;
     private int decodingTasks;
     private double decodingContextTokens;
@@ -59,6 +60,7 @@
                 }
             }
         }
+        prefillLoad.add(prefill, now);
         tasks.put(job.id(), new EngineTask(job, job.heldAt(engine), prefill, now, start, tokensPerPass));
     }
 
@@ -132,11 +134,21 @@
 
     /**
      * Predicts the time in which an answer is decoded, in milliseconds, with all tasks that are here decoding beside
-     * it.
+     * it. Later prefills are assumed to take the share of the time that others took recently.
+     *
+     * @param outputTokens length of the answer
+     * @param id id of its job, whose own prefill does not count
+     * @param now time in milliseconds
      */
-    double decodeMillis(long outputTokens) {
+    double decodeMillis(long outputTokens, JobId id, double now) {
         double passes = (double) outputTokens / profile.stepsPerPass() + 1;
-        return passes * profile.passMillis(Math.max(1, tasks.size()), memoryTokens());
+        double undisturbed = passes * profile.passMillis(Math.max(1, tasks.size()), memoryTokens());
+        return undisturbed / (1 - prefillShare(id, now));
+    }
+
+    private double prefillShare(JobId id, double now) {
+        EngineTask own = tasks.get(id);
+        return own == null ? prefillLoad.share(1, now) : prefillLoad.shareWithout(own.prefillMillis, own.placedAt, now);
     }
 
     /** Predicts the time until the prefill of a job is finished, in milliseconds; 0 if the job has none here. */
@@ -145,15 +157,6 @@
         return task == null || task.decoding ? 0 : task.untilDoneMillis(now);
     }
 
-    /** Returns the total length of what is left of the prefills, in milliseconds. */
-    double leftPrefillMillis(double now) {
-        double sum = 0;
-        for (EngineTask task : tasks.values()) {
-            sum += task.leftMillis(now);
-        }
-        return sum;
-    }
-
     /** Predicts the length of a pass without prefills, in milliseconds. */
     double passMillis() {
         return profile.passMillis(decodingTasks, decodingContextTokens);
--- a/relay/src/main/java/org/endivehold/relay/engine/JobTracker.java
+++ b/relay/src/main/java/org/endivehold/relay/engine/JobTracker.java
@@ -231,10 +231,10 @@
         if (load == null) {
             return Math.max(now, entry.expiresAt);
         }
-        double decode = load.decodeMillis(entry.job.outputTokens()) * entry.slowdown;
+        double decode = load.decodeMillis(entry.job.outputTokens(), id, now) * entry.slowdown;
         if (entry.decoding) {
             double least = EngineLoad.OVERDUE_REMAINING_SHARE * decode;
-            double left = entry.decodingSince + decode - now + load.leftPrefillMillis(now);
+            double left = entry.decodingSince + decode - now;
             return now + Math.max(least, left);
         }
         double prefilled = 0;
@@ -249,18 +249,19 @@
      * Predicts when a request ends if it is sent to one engine now.
      *
      * @param engine id of the engine
+     * @param id id of the request
      * @param need the request
      * @param slowdown how many times slower than its profile the engine is
      * @param now time in milliseconds
      * @return time in milliseconds; infinite if the engine is unknown
      */
-    public double predictedEnd(String engine, PromptNeed need, double slowdown, double now) {
+    public double predictedEnd(String engine, JobId id, PromptNeed need, double slowdown, double now) {
         EngineLoad load = loads.get(engine);
         if (load == null) {
             return Double.POSITIVE_INFINITY;
         }
         double prefill = load.profile().prefillMillis(need.promptTokens(), 1);
-        double decode = load.decodeMillis(need.outputTokens());
+        double decode = load.decodeMillis(need.outputTokens(), id, now);
         return now + (load.startDelayMillis(now, false) + prefill + decode) * slowdown;
     }
 
--- a/relay/src/main/java/org/endivehold/relay/engine/PartLoad.java
+++ b/relay/src/main/java/org/endivehold/relay/engine/PartLoad.java
@@ -1,7 +1,7 @@
 package org.endivehold.relay.engine;
 
 /**
- * Share of the engines' time that prefills of split prompts take, as an exponentially decaying average.
+ * Share of the engines' time that prefills take, as an exponentially decaying average.
  *
  * <p>The prefill of a part is preempted by parts that arrive while it runs. A long prefill therefore takes longer than
  * its own length, by the share of time that later parts take.
@@ -15,7 +15,7 @@
     private double prefillMillis;
     private double decayedAt;
 
-    /** Adds the prefill of one part at one engine. */
+    /** Adds a prefill at one engine. */
     void add(double millis, double now) {
         decay(now);
         prefillMillis += millis;
@@ -27,6 +27,13 @@
         return Math.min(MAX_SHARE, prefillMillis / TIME_CONSTANT_MILLIS / Math.max(1, engines));
     }
 
+    /** Returns the share of one engine's time without one of the prefills that were added. */
+    double shareWithout(double millis, double addedAt, double now) {
+        decay(now);
+        double own = millis * Math.exp(Math.min(0, addedAt - now) / TIME_CONSTANT_MILLIS);
+        return Math.min(MAX_SHARE, Math.max(0, prefillMillis - own) / TIME_CONSTANT_MILLIS);
+    }
+
     private void decay(double now) {
         if (now > decayedAt) {
             prefillMillis *= Math.exp((decayedAt - now) / TIME_CONSTANT_MILLIS);
--- a/relay/src/main/java/org/endivehold/relay/room/ClaimEnd.java
+++ b/relay/src/main/java/org/endivehold/relay/room/ClaimEnd.java
@@ -9,5 +9,7 @@
     /** One of its engines left, is evacuated or fails. */
     ENGINE_GONE,
     /** Its room did not come free in time. */
-    OVERDUE
+    OVERDUE,
+    /** Its room came free in time, but its cost to others did not allow to use it. */
+    NOT_ADMITTED
 }
--- a/relay/src/main/java/org/endivehold/relay/room/RoomPlanner.java
+++ b/relay/src/main/java/org/endivehold/relay/room/RoomPlanner.java
@@ -1,10 +1,12 @@
 package org.endivehold.relay.room;
 
-import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.endivehold.relay.engine.EngineRoom;
 import org.endivehold.relay.engine.JobId;
 
@@ -43,6 +45,9 @@
     static final double GRACE_MILLIS = 500;
 
     private final Map<String, RoomClaim> claims = new HashMap<>();
+    /** The waiting requests that were not placed although their claimed room was free. */
+    private final Set<JobId> notAdmitted = new HashSet<>();
+
     private final ClaimListener listener;
 
     /** Creates a planner without claims. */
@@ -62,8 +67,9 @@
      * Plans room for the first waiting request in order for which no engines have room, and claims it unless another
      * request of the service has a claim.
      *
-     * <p>Nothing is claimed if there is room now, since then it is not for want of room that the request waits, nor if
-     * the engines that are known would not be enough if all of them were idle.
+     * <p>Nothing is claimed if there is room now, since then it is not for want of room that the request waits, nor for
+     * a request that was not placed in room that was kept for it before, nor if the engines that are known would not be
+     * enough if all of them were idle.
      *
      * @param request the request
      * @param engines the room at the engines that may be chosen for it
@@ -73,7 +79,7 @@
     public Decision plan(RoomRequest request, List<EngineRoom> engines, double now) {
         RoomClaim current = claims.get(request.service());
         boolean hasClaim = current != null && current.request().equals(request.id());
-        if (hasClaim || !request.mayClaim()) {
+        if (hasClaim || notAdmitted.contains(request.id()) || !request.mayClaim()) {
             return Decision.WAIT;
         }
         Optional<RoomClaim> found = new RoomSearch(request, engines, now).earliest();
@@ -91,26 +97,36 @@
     }
 
     /**
-     * Ends the claim of a service if it is overdue or one of its engines may not be chosen any more.
+     * Ends the claim of a waiting request if it is overdue or one of its engines may not be chosen any more. If the
+     * room is free and the request was not placed, it waits for another reason, so that it gets no further claim.
      *
-     * @param service name of the service
-     * @param usable ids of the engines that may be chosen for the request that has the claim
+     * @param request the request that has the claim
+     * @param engines the room at the engines that may be chosen for it
      * @param now time in milliseconds
      */
-    public void review(String service, Collection<String> usable, double now) {
-        RoomClaim claim = claims.get(service);
-        if (claim == null) {
+    public void review(RoomRequest request, List<EngineRoom> engines, double now) {
+        RoomClaim claim = claims.get(request.service());
+        if (claim == null || !claim.request().equals(request.id())) {
             return;
         }
+        Set<String> usable = engines.stream().map(EngineRoom::engine).collect(Collectors.toSet());
         if (!usable.containsAll(claim.engines().keySet())) {
             end(claim, ClaimEnd.ENGINE_GONE, now);
         } else if (now > claim.dueAt() + GRACE_MILLIS) {
-            end(claim, ClaimEnd.OVERDUE, now);
+            boolean free = new RoomSearch(request, engines, now)
+                    .earliest()
+                    .filter(found -> found.dueAt() <= now)
+                    .isPresent();
+            if (free) {
+                notAdmitted.add(request.id());
+            }
+            end(claim, free ? ClaimEnd.NOT_ADMITTED : ClaimEnd.OVERDUE, now);
         }
     }
 
     /** Ends the claim of a request that does not wait any more; has no effect if it has none. */
     public void requestEnded(JobId id, ClaimEnd reason, double now) {
+        notAdmitted.remove(id);
         claims().stream().filter(claim -> claim.request().equals(id)).forEach(claim -> end(claim, reason, now));
     }
 
--- a/relay/src/main/java/org/endivehold/relay/schedule/PlannedRoom.java
+++ b/relay/src/main/java/org/endivehold/relay/schedule/PlannedRoom.java
@@ -55,7 +55,7 @@
         if (room.isEmpty()) {
             return candidate;
         }
-        double end = tracker.predictedEnd(candidate.id(), request.need(), candidate.slowdown(), now);
+        double end = tracker.predictedEnd(candidate.id(), request.id(), request.need(), candidate.slowdown(), now);
         ClaimedRoom withheld = planner.withheld(request.service(), request.id(), room.get(), end);
         return candidate.without(withheld.tokens(), withheld.slots());
     }
@@ -86,10 +86,7 @@
     private void review(String service, double now) {
         WaitingRequest claimant = claimants.get(service);
         if (claimant != null) {
-            List<String> usable = source.candidates(claimant).stream()
-                    .map(EngineCandidate::id)
-                    .toList();
-            planner.review(service, usable, now);
+            planner.review(roomRequest(claimant, claimant.need(now)), rooms(claimant, now), now);
             if (!planner.hasClaim(claimant.id())) {
                 claimants.remove(service);
             }
@@ -98,16 +95,19 @@
 
     /** Plans room for a request; returns whether it should be refused. */
     private boolean plan(WaitingRequest entry, double now) {
-        List<EngineRoom> rooms = source.candidates(entry).stream()
-                .flatMap(candidate -> tracker.room(candidate.id(), now).stream())
-                .toList();
-        RoomPlanner.Decision decision = planner.plan(roomRequest(entry, entry.need(now)), rooms, now);
+        RoomPlanner.Decision decision = planner.plan(roomRequest(entry, entry.need(now)), rooms(entry, now), now);
         if (planner.hasClaim(entry.id())) {
             claimants.put(entry.request().service(), entry);
         }
         return decision == RoomPlanner.Decision.REFUSE;
     }
 
+    private List<EngineRoom> rooms(WaitingRequest entry, double now) {
+        return source.candidates(entry).stream()
+                .flatMap(candidate -> tracker.room(candidate.id(), now).stream())
+                .toList();
+    }
+
     @Override
     public void removed(JobId id, double now) {
         ClaimEnd reason = tracker.contains(id) ? ClaimEnd.PLACED : ClaimEnd.NOT_WAITING;
