--- a/relay/src/main/java/org/endivehold/relay/schedule/Backlog.java
+++ b/relay/src/main/java/org/endivehold/relay/schedule/Backlog.java
@@ -4,6 +4,7 @@
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -44,7 +45,7 @@
     private int turns;
 
     /** Decides on the requests that a turn considers. */
-    interface Decisions {
+    public interface Decisions {
         /** Searches engines for a request and sends it there; returns whether it was placed. */
         boolean tryPlace(WaitingRequest entry);
 
@@ -57,7 +58,7 @@
         boolean shouldRefuse(WaitingRequest entry);
 
         /** Refuses a request, which has been removed. */
-        void refuse(WaitingRequest entry);
+        void refuse(WaitingRequest entry, WaitReason reason);
     }
 
     /**
@@ -65,7 +66,7 @@
      *
      * @param capacity maximum number of waiting requests
      */
-    Backlog(int capacity) {
+    public Backlog(int capacity) {
         this.capacity = capacity;
     }
 
@@ -73,7 +74,7 @@
      * Adds a request; returns false if the backlog is full. While it is full, a request of a class other than the
      * default is still added, and the next turn refuses the last ones in order instead of those that came last.
      */
-    boolean add(WaitingRequest entry) {
+    public boolean add(WaitingRequest entry) {
         int limit = entry.isClassed() ? capacity + capacity / OVERFLOW_DIVISOR : capacity;
         if (waiting.size() >= limit) {
             return false;
@@ -87,7 +88,7 @@
     }
 
     /** Removes a request; returns whether it was waiting. */
-    boolean remove(JobId id) {
+    public boolean remove(JobId id) {
         WaitingRequest entry = waiting.remove(id);
         if (entry == null) {
             return false;
@@ -129,7 +130,30 @@
         return waiting.get(id);
     }
 
-    int size() {
+    /**
+     * Returns how much engine time waiting requests are expected to take before a further request of a class is placed,
+     * in milliseconds of one engine: what its own customer waits for, as often as customers share, or all if that is
+     * less. Requests of lower ranks do not count.
+     */
+    double workAheadMillis(WaitingRequest entry) {
+        int rank = RankedShares.rank(entry.traffic());
+        Set<String> customers = new HashSet<>();
+        double own = 0;
+        double all = 0;
+        for (WaitingRequest other : waiting.values()) {
+            if (other.request().service().equals(entry.request().service())
+                    && RankedShares.rank(other.traffic()) >= rank) {
+                double cost = other.cost().engineMillis();
+                customers.add(other.traffic().customer());
+                all += cost;
+                own += other.traffic().customer().equals(entry.traffic().customer()) ? cost : 0;
+            }
+        }
+        return Math.min(all, (own + entry.cost().engineMillis()) * customers.size());
+    }
+
+    /** Returns the number of waiting requests. */
+    public int size() {
         return waiting.size();
     }
 
@@ -137,7 +161,7 @@
      * Returns whether requests of a class other than the default wait in the group of a request, so that it has to wait
      * for its turn: placed at once, it would pass over them.
      */
-    boolean mustQueue(WaitingRequest entry) {
+    public boolean mustQueue(WaitingRequest entry) {
         return entry.isClassed() && classedByGroup.containsKey(PromptGroup.of(entry));
     }
 
@@ -172,7 +196,7 @@
      * @return whether another turn may place more requests at once: all searches of a group found engines, and requests
      *     of it with a class other than the default still wait
      */
-    boolean runTurn(Decisions decisions) {
+    public boolean runTurn(Decisions decisions) {
         firstUnplaced.clear();
         Map<String, List<WaitingRequest>> byService = new LinkedHashMap<>();
         Map<PromptGroup, Integer> groupSizes = new LinkedHashMap<>();
@@ -199,7 +223,9 @@
         String service = most.get(0).request().service();
         TurnOrder order = new TurnOrder(most, shares(service));
         for (int excess = waiting.size() - capacity; excess > 0; excess--) {
-            order.removeLast().filter(entry -> remove(entry.id())).ifPresent(decisions::refuse);
+            order.removeLast()
+                    .filter(entry -> remove(entry.id()))
+                    .ifPresent(entry -> decisions.refuse(entry, WaitReason.QUEUE_FULL));
         }
     }
 
@@ -232,7 +258,7 @@
                     && contains(entry.id())
                     && decisions.shouldRefuse(entry)
                     && remove(entry.id())) {
-                decisions.refuse(entry);
+                decisions.refuse(entry, WaitReason.LATE);
             }
         }
     }
