--- a/relay/src/main/java/org/endivehold/relay/engine/EngineLoad.java
+++ b/relay/src/main/java/org/endivehold/relay/engine/EngineLoad.java
@@ -21,7 +21,11 @@
     /** Share of a prefill that is assumed to remain when it takes longer than predicted. */
     static final double OVERDUE_REMAINING_SHARE = 0.15;
 
+    /** Share of an engine's memory that requests may take in all. */
+    private static final double USABLE_MEMORY_SHARE = 0.97;
+
     private final Map<JobId, EngineTask> tasks = new HashMap<>();
+    private final PartLoad prefillLoad = new PartLoad();
     private final EngineProfile profile;
     private int decodingTasks;
     private double decodingContextTokens;
@@ -56,6 +60,7 @@
                 }
             }
         }
+        prefillLoad.add(prefill, now);
         tasks.put(job.id(), new EngineTask(job, job.heldAt(engine), prefill, now, start, tokensPerPass));
     }
 
@@ -117,6 +122,41 @@
         return sum;
     }
 
+    /** Returns the memory that all tasks together may take, in tokens. */
+    double usableTokens() {
+        return usableTokens(profile);
+    }
+
+    /** Returns the memory of an engine that requests may take in all, in tokens. */
+    static double usableTokens(EngineProfile profile) {
+        return profile.memoryTokens() * USABLE_MEMORY_SHARE;
+    }
+
+    /**
+     * Predicts the time in which an answer is decoded, in milliseconds, with all tasks that are here decoding beside
+     * it. Later prefills are assumed to take the share of the time that others took recently.
+     *
+     * @param outputTokens length of the answer
+     * @param id id of its job, whose own prefill does not count
+     * @param now time in milliseconds
+     */
+    double decodeMillis(long outputTokens, JobId id, double now) {
+        double passes = (double) outputTokens / profile.stepsPerPass() + 1;
+        double undisturbed = passes * profile.passMillis(Math.max(1, tasks.size()), memoryTokens());
+        return undisturbed / (1 - prefillShare(id, now));
+    }
+
+    private double prefillShare(JobId id, double now) {
+        EngineTask own = tasks.get(id);
+        return own == null ? prefillLoad.share(1, now) : prefillLoad.shareWithout(own.prefillMillis, own.placedAt, now);
+    }
+
+    /** Predicts the time until the prefill of a job is finished, in milliseconds; 0 if the job has none here. */
+    double untilPrefilledMillis(JobId id, double now) {
+        EngineTask task = tasks.get(id);
+        return task == null || task.decoding ? 0 : task.untilDoneMillis(now);
+    }
+
     /** Predicts the length of a pass without prefills, in milliseconds. */
     double passMillis() {
         return profile.passMillis(decodingTasks, decodingContextTokens);
--- a/relay/src/main/java/org/endivehold/relay/engine/EnginePlacement.java
+++ b/relay/src/main/java/org/endivehold/relay/engine/EnginePlacement.java
@@ -77,8 +77,6 @@
     private static final double SPLIT_CONTEXT_SHARE = 0.6;
     /** Tokens added to each part of a split context, since memory is allocated in blocks. */
     private static final long SPLIT_CONTEXT_MARGIN_TOKENS = 512;
-    /** Share of an engine's memory that requests may take in all. */
-    private static final double USABLE_MEMORY_SHARE = 0.97;
 
     private final JobTracker tracker;
     private final List<EngineCandidate> engines;
@@ -143,20 +141,36 @@
         return MurmurHash3.hash32x86(id.getBytes(StandardCharsets.UTF_8));
     }
 
-    private Optional<Placement> choose() {
-        double tokens = need.memoryTokens();
-        double capacity = profile().memoryTokens();
-        if (tokens <= capacity * USABLE_MEMORY_SHARE) {
-            Placement unsplitContext = cheapest(0);
-            if (unsplitContext != null || isShort()) {
-                return Optional.ofNullable(unsplitContext);
+    /**
+     * Returns the ways of dividing a request's context, in the order in which they are tried: undivided if it fits into
+     * one engine, then among as few engines as possible. A short prompt that fits into one engine is not divided.
+     *
+     * @param need the request
+     * @param profile profile of the engines
+     * @param engines number of engines that may be used
+     * @return the ways; empty if the engines are too few
+     */
+    public static List<ContextSplit> contextSplits(PromptNeed need, EngineProfile profile, int engines) {
+        long tokens = need.memoryTokens();
+        List<ContextSplit> splits = new ArrayList<>();
+        if (tokens <= EngineLoad.usableTokens(profile)) {
+            splits.add(new ContextSplit(1, tokens));
+            if (isShort(need, profile)) {
+                return splits;
             }
         }
-        int fewest = Math.max(1, (int) Math.ceil(tokens / (capacity * SPLIT_CONTEXT_SHARE)) - 1);
-        for (int helpers = fewest; helpers <= Math.min(MAX_CACHE_HELPERS, engines.size() - 1); helpers++) {
-            Placement splitContext = cheapest(helpers);
-            if (splitContext != null) {
-                return Optional.of(splitContext);
+        int fewest = Math.max(1, (int) Math.ceil(tokens / (profile.memoryTokens() * SPLIT_CONTEXT_SHARE)) - 1);
+        for (int helpers = fewest; helpers <= Math.min(MAX_CACHE_HELPERS, engines - 1); helpers++) {
+            splits.add(new ContextSplit(helpers + 1, tokens / (helpers + 1) + SPLIT_CONTEXT_MARGIN_TOKENS));
+        }
+        return splits;
+    }
+
+    private Optional<Placement> choose() {
+        for (ContextSplit context : contextSplits(need, profile(), engines.size())) {
+            Placement placement = cheapest(context);
+            if (placement != null) {
+                return Optional.of(placement);
             }
         }
         return Optional.empty();
@@ -167,18 +181,21 @@
     }
 
     private boolean isShort() {
-        return profile().prefillMillis(need.promptTokens(), 1) <= SHORT_PREFILL_MILLIS;
+        return isShort(need, profile());
+    }
+
+    private static boolean isShort(PromptNeed need, EngineProfile profile) {
+        return profile.prefillMillis(need.promptTokens(), 1) <= SHORT_PREFILL_MILLIS;
     }
 
     /**
-     * Returns the cheapest placement for a given number of helpers that hold a part of the context; null if there is
-     * none. A short prompt is not split further than its context.
+     * Returns the cheapest placement for a given split of the context; null if there is none. A short prompt is not
+     * split further than its context.
      */
-    private Placement cheapest(int cacheHelpers) {
-        long held = need.memoryTokens() / (cacheHelpers + 1) + (cacheHelpers > 0 ? SPLIT_CONTEXT_MARGIN_TOKENS : 0);
+    private Placement cheapest(ContextSplit context) {
         Placement best = null;
-        for (int parts = cacheHelpers + 1; parts <= Math.min(MAX_PARTS, engines.size()); parts = nextParts(parts)) {
-            Placement placement = placeSplit(new Split(parts, cacheHelpers, held));
+        for (int parts = context.engines(); parts <= Math.min(MAX_PARTS, engines.size()); parts = nextParts(parts)) {
+            Placement placement = placeSplit(new Split(parts, context.engines() - 1, context.heldTokens()));
             if (placement != null && (best == null || placement.cost() < best.cost())) {
                 best = placement;
             }
@@ -264,9 +281,9 @@
             cost += weight * OWN_PAUSE_WEIGHT * Lateness.of(pause + prefill, need.gapTargetMillis());
         }
         double prefilled = load.startDelayMillis(now, isSplit) * engine.slowdown() + prefill;
-        boolean hasMemory =
-                load.memoryTokens() + split.heldTokens() <= load.profile().memoryTokens() * USABLE_MEMORY_SHARE;
-        int freeSlots = load.profile().slots() - load.usedSlots(engine.id());
+        double taken = load.memoryTokens() + engine.claimedTokens();
+        boolean hasMemory = taken + split.heldTokens() <= load.usableTokens();
+        int freeSlots = load.profile().slots() - load.usedSlots(engine.id()) - engine.claimedSlots();
         boolean mayDecode = hasMemory && freeSlots > 0;
         cost += freeSlots <= LAST_SLOTS ? weight * LAST_SLOT_COST / Math.max(1, freeSlots * freeSlots) : 0;
         return new EngineOption(engine, prefilled, cost, hasMemory, mayDecode);
--- a/relay/src/main/java/org/endivehold/relay/schedule/LocalScheduler.java
+++ b/relay/src/main/java/org/endivehold/relay/schedule/LocalScheduler.java
@@ -15,6 +15,7 @@
 import org.endivehold.relay.engine.RoomForecast;
 import org.endivehold.relay.engine.StartRule;
 import org.endivehold.relay.limit.UpstreamHealth;
+import org.endivehold.relay.room.LoggedClaims;
 import org.endivehold.relay.route.EngineProfile;
 import org.endivehold.relay.route.RelayService;
 import org.endivehold.relay.route.TrafficClass;
@@ -58,7 +59,7 @@
     private final CandidateFinder finder;
     private final Backlog backlog = new Backlog(MAX_WAITING);
     private final Backlog.Decisions decisions = new TurnDecisions();
-    private RoomClaims claims = RoomClaims.NONE;
+    private final RoomClaims claims;
     private boolean scheduled;
 
     /** Creates a scheduler without requests. */
@@ -77,15 +78,12 @@
         this.health = health;
         this.jobs = jobs;
         this.finder = new CandidateFinder(fleet, health, jobs, division, ticker);
+        this.claims = new PlannedRoom(
+                jobs.tracker(), entry -> finder.candidates(entry.request(), entry.profile()), new LoggedClaims());
         jobs.onCapacityFreed(this::capacityFreed);
         jobs.tracker().onAdded(this::charge);
     }
 
-    /** Keeps room free for waiting requests as decided by these claims. */
-    public void setClaims(RoomClaims value) {
-        claims = value;
-    }
-
     @Override
     public void submit(EngineRequest request, Listener listener) {
         Optional<EngineProfile> profile = profile(request.service());
@@ -149,7 +147,7 @@
     }
 
     private void refuse(WaitingRequest entry, WaitReason reason) {
-        claims.removed(entry.id());
+        claims.removed(entry.id(), now());
         double retryAfterMillis = entry.isClassed() ? expectedRoomMillis(entry) : defaultRetryAfterMillis(entry);
         entry.listener().explained(reason);
         entry.listener().refused(retryAfterMillis);
@@ -170,7 +168,7 @@
     @Override
     public void withdraw(JobId id) {
         if (backlog.remove(id)) {
-            claims.removed(id);
+            claims.removed(id, now());
         }
     }
 
@@ -209,11 +207,11 @@
         if (found.isEmpty() || !StartRule.admits(found.get(), need)) {
             return Optional.of(found.isEmpty() ? WaitReason.NO_ENGINE : WaitReason.HARM);
         }
-        claims.removed(entry.id());
         backlog.reason(entry.id()).ifPresent(entry.listener()::explained);
         Placement placement = found.get();
         EngineJob job = EngineJob.of(request.id(), placement, need);
         jobs.tracker().add(job, now, health.slowdown(job.decodeEngine(), now));
+        claims.removed(entry.id(), now);
         entry.listener().placed(job, placement);
         return Optional.empty();
     }
@@ -253,13 +251,22 @@
     private void runTurn() {
         scheduled = false;
         Set<String> services = backlog.services();
+        claims.claimants().forEach(id -> backlog.tryFirst(id, decisions));
         boolean again = backlog.runTurn(decisions);
-        services.forEach(service -> claims.turnEnded(service, backlog.firstUnplaced(service), now()));
+        services.forEach(this::planRoom);
         if (backlog.size() > 0) {
             scheduleTurn(again ? 1 : RETRY_MILLIS);
         }
     }
 
+    /** Keeps room for the first request that the turn could not place, or refuses it if room comes free too late. */
+    private void planRoom(String service) {
+        Optional<WaitingRequest> first = backlog.firstUnplaced(service);
+        if (claims.turnEnded(service, first, now())) {
+            first.filter(entry -> backlog.remove(entry.id())).ifPresent(entry -> refuse(entry, WaitReason.NO_TIME));
+        }
+    }
+
     /** Decides on the requests of a turn by the tracked jobs and the {@link StartRule}. */
     private final class TurnDecisions implements Backlog.Decisions {
         @Override
@@ -267,6 +274,11 @@
             return LocalScheduler.this.tryPlace(entry);
         }
 
+        @Override
+        public boolean mayClaimRoom(WaitingRequest entry) {
+            return claims.mayClaim(entry);
+        }
+
         @Override
         public boolean shouldRefuse(WaitingRequest entry) {
             return StartRule.shouldRefuse(entry.prefillMillis(), entry.need(now()));
--- a/relay/src/test/java/org/endivehold/relay/engine/RoomForecastTest.java
+++ b/relay/src/test/java/org/endivehold/relay/engine/RoomForecastTest.java
@@ -27,7 +27,7 @@
                 new EngineJob(id, List.of(engine), List.of(tokens), tokens - outputTokens, outputTokens, 300, 250),
                 0,
                 1);
-        tracker.firstToken(id);
+        tracker.firstToken(id, 0);
     }
 
     private double forecast(long tokens, double now) {
--- a/relay/src/test/java/org/endivehold/relay/simulation/SimulatedDaemon.java
+++ b/relay/src/test/java/org/endivehold/relay/simulation/SimulatedDaemon.java
@@ -25,7 +25,7 @@
 import org.endivehold.relay.schedule.WaitingRequest;
 
 /** A daemon that places requests with the production classes and learns of other daemons' jobs after a delay. */
-final class SimulatedDaemon {
+final class SimulatedDaemon implements RequestDaemon {
     /** Pause after which waiting requests are tried again, as in the production scheduler. */
     private static final double RETRY_MILLIS = 25;
     /** Mean of the random time that the production scheduler adds before a refused caller may retry. */
@@ -57,7 +57,8 @@
         isolated = value;
     }
 
-    void submit(SimulatedRequest request) {
+    @Override
+    public void submit(SimulatedRequest request) {
         JobId id = new JobId(name, nextNumber++);
         EngineRequest submitted = new EngineRequest(id, SERVICE, request.need(), Set.of(), Set.of(), true);
         WaitingRequest entry = new WaitingRequest(
@@ -82,16 +83,17 @@
         }
     }
 
-    /** A request produced its first event. */
-    void firstEvent(SimulatedRequest request) {
+    @Override
+    public void firstEvent(SimulatedRequest request) {
         JobId id = request.job().id();
-        tracker.firstToken(id);
-        broadcast(other -> other.tracker.firstToken(id));
+        double now = simulation.time().now();
+        tracker.firstToken(id, now);
+        broadcast(other -> other.tracker.firstToken(id, now));
         scheduleTurn();
     }
 
-    /** A request ended. */
-    void ended(SimulatedRequest request) {
+    @Override
+    public void ended(SimulatedRequest request) {
         withdraw(request);
         if (request.job() == null) {
             return;
