--- a/relay/src/main/java/org/endivehold/relay/schedule/Backlog.java
+++ b/relay/src/main/java/org/endivehold/relay/schedule/Backlog.java
@@ -299,7 +299,8 @@
             shares(entry).placedAfterWaiting(entry.traffic());
         } else if (contains(entry.id())) {
             unplacedReasons.put(entry.id(), unplaced.get());
-            if (decisions.mayClaimRoom(entry)) {
+            // A request that engines have room for waits for the harm that it would do, which a claim does not change.
+            if (unplaced.get() == WaitReason.NO_ENGINE && decisions.mayClaimRoom(entry)) {
                 firstUnplaced.putIfAbsent(entry.request().service(), entry);
             }
         }
