Tests of crowds against the program of an entry host, known red

The tests check that it lives, its memory and descriptors, that an ordinary request is answered afterwards, and that a request refused as not run reached no upstream.

--- /dev/null
+++ b/daemon/src/test/java/org/endivehold/daemon/entry/CrowdPlatform.java
@@ -0,0 +1,155 @@
+package org.endivehold.daemon.entry;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.nio.charset.StandardCharsets;
+import java.util.Base64;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** A store and the upstreams of a daemon under test; it records which requests reached an upstream. */
+final class CrowdPlatform {
+    static final String HOST = "127.0.0.1";
+    /** Longest body that the configuration allows, in bytes. */
+    static final int MAX_BODY_BYTES = 65_536;
+    /** Events of a stream; all of them are more than the socket buffers on the way to a caller take. */
+    private static final int EVENTS = 400;
+
+    private static final int EVENT_BYTES = 32_768;
+    private static final long REVISION = 10;
+    private static final String ENTRY_PREFIX = "servers/";
+    private static final long WATCH_MILLIS = 200;
+    private static final String CONFIGURATION =
+            """
+            {"version":1,
+             "tenants":[{"name":"crowd","api_keys":["key"]}],
+             "limits":{"max_header_bytes":16384,"max_body_bytes":65536,
+              "header_timeout_ms":700,"idle_timeout_ms":2000},
+             "routes":[
+              {"name":"plain","host":"crowd","path_prefix":"/plain/","kind":"safe","service":"plain",
+               "timeout_ms":2000,"target_latency_ms":200,"max_attempts":2,"priority":1},
+              {"name":"stream","host":"crowd","path_prefix":"/stream/","kind":"streaming","service":"engines",
+               "timeout_ms":5000,"target_latency_ms":300,"gap_target_ms":250,"max_attempts":2,"stream_resume":true}],
+             "services":[
+              {"name":"plain","health_check_path":"/health","max_connections":10,"cold_per_s":1000},
+              {"name":"engines","health_check_path":"/health","max_connections":10,"cold_per_s":1000,
+               "engine":{"slots":200,"kv_capacity_tokens":4000000,"stride":10,"step_ms":1.5,"per_seq_ms":0.1,
+                "context_per_k":0.01,"read_per_s":15000000,"pairs_per_m":0.1,"chunk":2048}}]}
+            """;
+
+    private final Vertx vertx;
+    private final Set<String> reached = ConcurrentHashMap.newKeySet();
+    private int port;
+
+    CrowdPlatform(Vertx vertx) {
+        this.vertx = vertx;
+    }
+
+    Future<Void> start() {
+        return vertx.createHttpServer()
+                .requestHandler(request -> request.body().onSuccess(body -> serve(request)))
+                .listen(0, HOST)
+                .onSuccess(server -> port = server.actualPort())
+                .mapEmpty();
+    }
+
+    int port() {
+        return port;
+    }
+
+    /** Returns whether a request with this URI has reached an upstream. */
+    boolean hasReached(String uri) {
+        return reached.contains(uri);
+    }
+
+    private void serve(HttpServerRequest request) {
+        switch (request.path()) {
+            case "/kv-range" -> answer(request, range(request.getParam("path_prefix")));
+            case "/kv-watch" ->
+                vertx.setTimer(
+                        WATCH_MILLIS,
+                        timer -> answer(
+                                request,
+                                new JsonObject().put("events", new JsonArray()).put("store_revision", REVISION)));
+            case "/kv-txn" -> answer(request, new JsonObject().put("revision", REVISION));
+            case "/kv-lease" -> answer(request, new JsonObject().put("lease", 1).put("ttl_ms", 1_000));
+            case "/order" -> answer(request, new JsonObject().put("free", 1));
+            default -> serveUpstream(request);
+        }
+    }
+
+    private static void answer(HttpServerRequest request, JsonObject body) {
+        request.response().putHeader("Store-Era", "0").end(body.toBuffer());
+    }
+
+    private JsonObject range(String prefix) {
+        JsonArray items = new JsonArray();
+        if (prefix.equals(ENTRY_PREFIX)) {
+            items.add(entry("plain-1", "plain")).add(entry("engine-1", "engines"));
+        } else if (prefix.startsWith("op/")) {
+            items.add(item("op/config", CONFIGURATION));
+        }
+        return new JsonObject().put("items", items).put("truncated", false).put("store_revision", REVISION);
+    }
+
+    private JsonObject entry(String id, String service) {
+        JsonObject entry = new JsonObject()
+                .put("service", service)
+                .put("address", HOST + ":" + port)
+                .put("zone", "zone")
+                .put("version", "v1")
+                .put("sequence", 1)
+                .put("slots", 200)
+                .put("state", "ready")
+                .put("cold_remaining_ms", 0)
+                .put("born", 1);
+        return item(ENTRY_PREFIX + id, entry.encode());
+    }
+
+    private static JsonObject item(String key, String value) {
+        return new JsonObject()
+                .put("key", key)
+                .put("value", Base64.getEncoder().encodeToString(value.getBytes(StandardCharsets.UTF_8)))
+                .put("revision", 1);
+    }
+
+    private void serveUpstream(HttpServerRequest request) {
+        reached.add(request.uri());
+        HttpServerResponse response = request.response()
+                .putHeader("X-Endivehold-Response-Seal", "seal")
+                .putHeader("X-Endivehold-Server-Load", "1,0,200");
+        String attempt = request.getHeader("X-Endivehold-Attempt-Id");
+        if (attempt != null) {
+            response.putHeader("X-Endivehold-Attempt-Id", attempt);
+        }
+        if (request.path().startsWith("/stream/")) {
+            response.putHeader("Content-Type", "text/event-stream").setChunked(true);
+            stream(response, 1);
+        } else {
+            response.end("answer");
+        }
+    }
+
+    /** Writes the rest of a stream at the pace of its reader. */
+    private void stream(HttpServerResponse response, int first) {
+        Buffer data = Buffer.buffer("x".repeat(EVENT_BYTES));
+        for (int id = first; id <= EVENTS; id++) {
+            if (response.closed()) {
+                return;
+            }
+            if (response.writeQueueFull()) {
+                int next = id;
+                response.drainHandler(drained -> stream(response, next));
+                return;
+            }
+            response.write(
+                    Buffer.buffer("id: " + id + "\ndata: ").appendBuffer(data).appendString("\n\n"));
+        }
+        response.end();
+    }
+}
