--- a/daemon/src/test/java/org/endivehold/daemon/entry/RegistrationTest.java
+++ b/daemon/src/test/java/org/endivehold/daemon/entry/RegistrationTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import org.endivehold.misc.Ticker;
 import org.endivehold.relay.RelaySettings;
+import org.endivehold.relay.connection.ConnectionLimits;
 import org.endivehold.relay.peer.DaemonDirectory;
 import org.endivehold.relay.peer.DaemonEntry;
 import org.endivehold.relay.peer.PeerListener;
@@ -74,7 +75,8 @@
                 List.of(),
                 local,
                 1_000,
-                new RelayBounds(4_000, 1, 5, 0.2, 100, 10_000, 3_000));
+                new RelayBounds(4_000, 1, 5, 0.2, 100, 10_000, 3_000),
+                ConnectionLimits.of(4_100, 330L << 20, 120L << 20));
         DaemonEntry self = new DaemonEntry("d#1", "127.0.0.1", 1, "zone", 1);
         PeerMesh mesh = new PeerMesh(vertx, Ticker.system(), new DaemonDirectory(self), new NoPeers());
         return new Registration(vertx, store.client(vertx), "daemons/", self, settings, mesh);
--- a/daemon/src/test/java/org/endivehold/daemon/entry/StoreCallsTest.java
+++ b/daemon/src/test/java/org/endivehold/daemon/entry/StoreCallsTest.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import org.endivehold.misc.LogEvent;
 import org.endivehold.relay.RelaySettings;
+import org.endivehold.relay.connection.ConnectionLimits;
 import org.endivehold.relay.serve.RelayBounds;
 import org.jboss.logging.Logger;
 import org.junit.jupiter.api.AfterEach;
@@ -75,7 +76,8 @@
                 peers.subList(0, ZONES),
                 local(1),
                 1_000,
-                new RelayBounds(4_000, 1, 5, 0.2, 100, 10_000, 3_000));
+                new RelayBounds(4_000, 1, 5, 0.2, 100, 10_000, 3_000),
+                ConnectionLimits.of(4_100, 330L << 20, 120L << 20));
         Vertx vertx = EntryDaemon.createVertx();
         loops.add(vertx);
         return new EntryDaemon(
