--- a/daemon/src/test/java/org/endivehold/daemon/entry/CrowdsTest.java
+++ b/daemon/src/test/java/org/endivehold/daemon/entry/CrowdsTest.java
@@ -90,6 +90,18 @@
 
     @Test
     void aMixedCrowdLeavesTheDaemonSound() throws Exception {
+        meetMixedCrowd();
+        assertEquals(List.of(), faults);
+    }
+
+    @Test
+    @Tag("known-red")
+    void aMixedCrowdStaysUnderTheDescriptors() throws Exception {
+        meetMixedCrowd();
+        assertEquals(List.of(), descriptorFaults);
+    }
+
+    private void meetMixedCrowd() throws Exception {
         startIfNeeded();
         List<Crowd> crowds = new ArrayList<>();
         for (CrowdKind kind : CrowdKind.values()) {
@@ -98,7 +110,6 @@
             }
         }
         meet("mixed", crowds.stream());
-        assertEquals(List.of(), faults);
     }
 
     private Crowd crowd(CrowdKind kind, CrowdKind.Target target, int clients) throws Exception {
