--- a/bench/src/main/java/org/endivehold/bench/start/StartConfiguration.java
+++ b/bench/src/main/java/org/endivehold/bench/start/StartConfiguration.java
@@ -3,7 +3,7 @@
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 
-/** A large operators' configuration whose first route and API key are those that the loopback platform calls. */
+/** A large configuration. The loopback platform sends its request to the first route, with the first API key. */
 final class StartConfiguration {
     private static final int CUSTOMERS = 24;
     private static final int ROUTES_PER_HOST = 3;
--- a/daemon/src/main/java/org/endivehold/daemon/entry/Registration.java
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/Registration.java
@@ -32,7 +32,10 @@
     private static final int RENEW_RETRY_MILLIS = 1_000;
     /** Delay after a failed attempt to register, in milliseconds. */
     private static final int RETRY_DELAY_MILLIS = 1_500;
-    /** Delay after further failed attempts to register, in milliseconds; other daemons know this one without it. */
+    /**
+     * Delay after further failed attempts to register, in milliseconds; other daemons learn of this one even if it is
+     * not registered.
+     */
     private static final int MAX_RETRY_DELAY_MILLIS = 3_000;
     /**
      * Delay of a second discovery after the start, in milliseconds. All daemons start at about the same time, so the
--- a/daemon/src/main/java/org/endivehold/daemon/entry/StatusServer.java
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/StatusServer.java
@@ -24,7 +24,7 @@
 
     /** Longest request headers and longest request line, in bytes. */
     private static final int MAX_HEADER_BYTES = 16_384;
-    /** Receive buffer of a connection in the kernel, in bytes; a sound request has far less. */
+    /** Receive buffer of a connection in the kernel, in bytes; a usual request has far less. */
     private static final int RECEIVE_BUFFER_BYTES = 16_384;
 
     private final Vertx vertx;
--- a/relay/src/main/java/org/endivehold/relay/connection/ConnectionGuard.java
+++ b/relay/src/main/java/org/endivehold/relay/connection/ConnectionGuard.java
@@ -36,11 +36,17 @@
     private static final int FIELD_BYTES = 200;
     /** Bytes that are held while a request is served. */
     private static final int MAX_AHEAD_BYTES = 16_384;
-    /** Bytes of a body that are decoded at once: the requests that may follow in them are held by the HTTP library. */
+    /**
+     * Bytes of a chunked body that are passed to the decoder at a time. Small, since the HTTP library queues without a
+     * bound the requests that may follow in the same bytes.
+     */
     private static final int SLICE_BYTES = 1_024;
-    /** The same once the chunks have been judged. */
+    /** The same for the rest of a body, after {@link #JUDGED_BYTES}. */
     private static final int MAX_SLICE_BYTES = 4_096;
-    /** Bytes of a chunked body after which the size of its chunks is judged. */
+    /**
+     * Bytes of a chunked body after which it is checked for very small chunks: less than three quarters of the bytes
+     * are content.
+     */
     private static final int JUDGED_BYTES = 1_000;
     /** Least rate of a body over the time since its head, in bytes per second. */
     private static final int LEAST_BODY_RATE = 512;
@@ -82,7 +88,7 @@
         unreadSince = since;
     }
 
-    /** Starts the accounting. */
+    /** Registers the connection and its request head with the limits that all connections share. */
     void begin(HeldBytes allHeads, OpenConnections.Entry connection) {
         heads = allHeads.open(() -> cut("heads-full"));
         entry = connection;
@@ -295,8 +301,9 @@
             }
         } else if (!requestRead) {
             checkBody(now, limits);
-        } else if (unreadMillis(now) > STALL_MILLIS) {
-            entry.use(OpenConnections.Use.STALLED, now);
+        } else {
+            boolean stalled = unreadMillis(now) > STALL_MILLIS;
+            entry.use(stalled ? OpenConnections.Use.STALLED : OpenConnections.Use.SERVING, now);
         }
     }
 
@@ -333,7 +340,7 @@
         written.addListener(done -> server.afterMillis(LINGER_MILLIS, this::close));
     }
 
-    /** Closes the connection. */
+    /** Closes the connection without a response. */
     void cut(String reason) {
         stop(reason);
         close();
--- a/relay/src/main/java/org/endivehold/relay/connection/ConnectionLimits.java
+++ b/relay/src/main/java/org/endivehold/relay/connection/ConnectionLimits.java
@@ -16,7 +16,7 @@
 
     /** Descriptors of the program itself: its files, listening sockets and selectors. */
     private static final int OWN_DESCRIPTORS = 100;
-    /** Part of the other descriptors for callers; the rest is for peers, upstreams and the store. */
+    /** Divisors of the other descriptors, for callers and peers; the rest is for upstreams and the store. */
     private static final int CALLERS_PART = 2;
 
     private static final int PEERS_PART = 4;
@@ -24,8 +24,9 @@
     private static final int READINESS = 24;
 
     private static final int METRICS = 8;
+    /** At most an eighth of the heap is taken for heads. */
     private static final int HEAP_PARTS = 8;
-    /** At most this part of the host's memory is taken for heads, as the heap is a part of it only. */
+    /** At most a sixteenth of the host's memory is taken for heads, as the heap is only a part of it. */
     private static final int MEMORY_PARTS = 16;
 
     /**
--- a/relay/src/main/java/org/endivehold/relay/connection/OpenConnections.java
+++ b/relay/src/main/java/org/endivehold/relay/connection/OpenConnections.java
@@ -29,7 +29,7 @@
         SERVING
     }
 
-    /** Part of the connections that one address may have. */
+    /** One address may have {@code limit / ADDRESS_PART} connections. */
     private static final int ADDRESS_PART = 2;
 
     private final int limit;
@@ -94,7 +94,7 @@
             }
         }
 
-        /** Forgets the connection: it is closed. */
+        /** Stops counting the connection; does not close it. */
         public void close() {
             if (entries.remove(this)) {
                 countByAddress.computeIfPresent(address, (key, count) -> count > 1 ? count - 1 : null);
--- a/relay/src/main/java/org/endivehold/relay/engine/RoomForecast.java
+++ b/relay/src/main/java/org/endivehold/relay/engine/RoomForecast.java
@@ -18,9 +18,12 @@
  * request of 100,000 tokens has room at the first engine after 1 s. One of 300,000 tokens needs both, after 3 s.
  */
 public final class RoomForecast {
-    /** Largest number of engines that hold parts of one context, as for placements. */
+    /**
+     * Largest number of engines that hold parts of one context: the decoding engine and at most
+     * {@code MAX_CACHE_HELPERS} helpers, see {@link EnginePlacement}.
+     */
     private static final int MAX_PARTS = 9;
-    /** Share of an engine's memory that requests may take in all, as for placements. */
+    /** Share of an engine's memory that requests may take in all; the same as in {@link EngineLoad}. */
     private static final double USABLE_MEMORY_SHARE = 0.97;
 
     private final List<List<Release>> engines = new ArrayList<>();
--- a/relay/src/main/java/org/endivehold/relay/limit/HeldBytes.java
+++ b/relay/src/main/java/org/endivehold/relay/limit/HeldBytes.java
@@ -10,9 +10,9 @@
  * The bytes of one kind that this daemon holds for all its requests together, such as bodies that are being read.
  *
  * <p>A bound for each request does not bound the process: how many requests there are is up to others. So the sum is
- * bounded. When it is exceeded, the share that holds the most is evicted, and so on until the rest fits: whoever sends
- * without end holds more than a sound neighbour. Example with a limit of 20 MiB: of 75 answers, 25 have 0.8 MiB each
- * and grow, 50 have 5 KB. The next block of one that grows evicts the largest of them; the small ones go on.
+ * bounded. When it is exceeded, the share that holds the most is evicted, and so on until the rest fits: a client that
+ * sends without end holds more than a well-behaved one. Example with a limit of 20 MiB: of 75 answers, 25 have 0.8 MiB
+ * each and grow, 50 have 5 KB. The next block of one that grows evicts the largest of them; the small ones go on.
  *
  * <p>A pinned share counts but is not evicted, since what it holds is in use.
  */
@@ -35,7 +35,7 @@
         this.limitBytes = limitBytes;
     }
 
-    /** Opens a share without bytes; {@code onEvicted} has to let go of the bytes when it is evicted. */
+    /** Opens a share without bytes; {@code onEvicted} has to release the bytes when it is evicted. */
     public Share open(Runnable onEvicted) {
         return new Share(onEvicted);
     }
--- a/relay/src/main/java/org/endivehold/relay/peer/DaemonDirectory.java
+++ b/relay/src/main/java/org/endivehold/relay/peer/DaemonDirectory.java
@@ -181,8 +181,8 @@
     }
 
     /**
-     * Returns the coordinators that watch the store as long as they are well. The other coordinators watch it when
-     * these announce nothing any more.
+     * Returns the coordinators that normally watch the store. The other coordinators start to watch it when these stop
+     * announcing their copies.
      */
     public List<DaemonEntry> storeWatchers() {
         List<DaemonEntry> coordinators = coordinators();
--- a/relay/src/main/java/org/endivehold/relay/peer/InboundLimits.java
+++ b/relay/src/main/java/org/endivehold/relay/peer/InboundLimits.java
@@ -11,7 +11,9 @@
  * @param frames bytes of frames that are not complete
  */
 record InboundLimits(OpenConnections open, HeldBytes frames) {
-    /** Frames may take twice as much as request heads: a configuration and copies of the store arrive in them. */
+    /**
+     * Frames may take this many times as much as request heads: configurations and copies of the store arrive in them.
+     */
     private static final int HEADS = 2;
 
     static InboundLimits of(ConnectionLimits limits) {
--- a/relay/src/main/java/org/endivehold/relay/route/PriorityRanks.java
+++ b/relay/src/main/java/org/endivehold/relay/route/PriorityRanks.java
@@ -16,8 +16,8 @@
  * not told apart either.
  *
  * <p>Example: the routes of a service have the priorities 0, 1 and 2, and of three customers one has priority 0 and two
- * have 1. A request on the route with priority 0 has route rank 2, since two priorities are lower; the first customer
- * has rank 1, the others 0.
+ * have 1. Smaller numbers are more urgent, so a request on the route with priority 0 has route rank 2, the number of
+ * less urgent priorities; the first customer has rank 1, the others 0.
  */
 final class PriorityRanks {
     private final Map<String, SortedSet<Integer>> routePriorities = new HashMap<>();
--- a/relay/src/main/java/org/endivehold/relay/schedule/Backlog.java
+++ b/relay/src/main/java/org/endivehold/relay/schedule/Backlog.java
@@ -37,7 +37,7 @@
     /** Maximum number of requests for which engines are searched in one turn, to keep the event loop responsive. */
     private static final int MAX_SEARCHES = 8;
 
-    /** Part of the capacity by which requests may exceed it until the next turn. */
+    /** A full backlog accepts a further {@code capacity / OVERFLOW_DIVISOR} requests until the next turn. */
     private static final int OVERFLOW_DIVISOR = 4;
 
     private final int capacity;
@@ -143,8 +143,9 @@
 
     /**
      * Returns how much engine time waiting requests are expected to take before a further request of a class is placed,
-     * in milliseconds of one engine: what its own customer waits for, as often as customers share, or all if that is
-     * less. Requests of lower ranks do not count.
+     * in milliseconds of one engine. Customers are served equally, so this is the work of its own customer, including
+     * the request itself, times the number of customers that wait, but at most the work of all waiting requests.
+     * Requests of lower ranks do not count.
      */
     double workAheadMillis(WaitingRequest entry) {
         int rank = RankedShares.rank(entry.traffic());
@@ -170,9 +171,9 @@
 
     /**
      * Returns whether requests of a class other than the default wait for room in the group of a request, so that it
-     * has to wait for its turn: placed at once, it would pass over them. Those that had room, but would have harmed
-     * others too much, do not count: a request that is not late yet may be worth more, and must not become late behind
-     * them.
+     * has to wait for its turn: placed at once, it would overtake them. Requests whose last search ended with
+     * {@link WaitReason#HARM} do not count: a new request, which is not late yet, may be worth more than they are, and
+     * would become late if it queued behind them.
      */
     public boolean mustQueue(WaitingRequest entry) {
         PromptGroup group = PromptGroup.of(entry);
@@ -299,7 +300,7 @@
             shares(entry).placedAfterWaiting(entry.traffic());
         } else if (contains(entry.id())) {
             unplacedReasons.put(entry.id(), unplaced.get());
-            // A request that engines have room for waits for the harm that it would do, which a claim does not change.
+            // With HARM there is room, but using it would make other requests late. A claim does not change that.
             if (unplaced.get() == WaitReason.NO_ENGINE && decisions.mayClaimRoom(entry)) {
                 firstUnplaced.putIfAbsent(entry.request().service(), entry);
             }
--- a/relay/src/main/java/org/endivehold/relay/schedule/LocalScheduler.java
+++ b/relay/src/main/java/org/endivehold/relay/schedule/LocalScheduler.java
@@ -43,11 +43,13 @@
     private static final double RETRY_AFTER_PER_WAITING_MILLIS = 20;
 
     /**
-     * Part of the predicted time until room is free after which it may be: jobs are predicted to use all the tokens
-     * that they asked for, and many end earlier.
+     * Share of the predicted time until room is free after which room may already be free: jobs are predicted to use
+     * all the tokens that they asked for, and many end earlier.
      */
     private static final double EARLY_END_SHARE = 0.5;
-    /** Upper bound of each part of the expected time in a refusal, in milliseconds: what comes later is a guess. */
+    /**
+     * Upper bound of each part of the expected time in a refusal, in milliseconds: longer predictions are unreliable.
+     */
     private static final double MAX_EXPECTED_ROOM_MILLIS = 10_000;
 
     private final Vertx vertx;
--- a/relay/src/main/java/org/endivehold/relay/serve/DeferredMeters.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/DeferredMeters.java
@@ -8,12 +8,12 @@
 
 /**
  * A registry of meters that is created when it is first read or when much has been recorded, since its initialization
- * takes a good part of a start. What is recorded until then waits. Used by one thread at a time.
+ * takes a good part of a start. What is recorded until then is kept and added on creation. Not thread-safe.
  *
  * @param <R> type of the registry
  */
 public final class DeferredMeters<R extends MeterRegistry> {
-    /** Recordings that wait at most; a busy daemon reaches them within seconds, an idle one keeps a few kilobytes. */
+    /** Most recordings that are kept; a busy daemon reaches them within seconds, an idle one keeps a few kilobytes. */
     private static final int MAX_WAITING = 1_000;
 
     private final Supplier<R> factory;
--- a/relay/src/main/java/org/endivehold/relay/serve/RelayContext.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/RelayContext.java
@@ -74,7 +74,9 @@
         return fleet.table().map(RoutingTable::version).orElse(Long.MIN_VALUE);
     }
 
-    /** Returns whose a request is and how urgent beside the others of a service. */
+    /**
+     * Returns the traffic class of a request: its customer, and its urgency relative to other requests of the service.
+     */
     TrafficClass trafficClass(RelayService service, Exchange exchange) {
         return fleet.table()
                 .map(table -> table.trafficClass(service.name(), exchange.route(), exchange.customer()))
--- a/relay/src/main/java/org/endivehold/relay/share/FairShares.java
+++ b/relay/src/main/java/org/endivehold/relay/share/FairShares.java
@@ -15,7 +15,7 @@
  * <p>Without a limit, a customer that has been idle for an hour would come back with the smallest counter and be served
  * alone until it has caught up. So a customer that was neither waiting nor running starts at the smallest counter of
  * those that are, or at its own if that is larger: it has no credit, and being idle does not cancel what it has taken.
- * While nobody waits or runs, engines are free and no one owes anything: all counters are equal again.
+ * While nobody waits or runs, the engines are free, and all counters become equal again.
  *
  * <p>Example: customers A and B wait and have counters 900 and 1,000. C is new and starts at 900. A places a request of
  * cost 400, then C one of cost 50, then C another one, since it has 950, then B. A goes on when the others have passed
@@ -36,7 +36,7 @@
     private static final double SAME_START_MILLIS = 1_000;
 
     private final Map<String, Account> accounts = new HashMap<>();
-    /** Counter of a customer that is not known. */
+    /** Smallest counter at which a customer that becomes active starts; it never decreases. */
     private double floor;
 
     private static final class Account {
--- a/relay/src/main/java/org/endivehold/relay/share/RankFloor.java
+++ b/relay/src/main/java/org/endivehold/relay/share/RankFloor.java
@@ -13,7 +13,7 @@
  * <p>Example: requests of ranks 2, 1 and 0 always wait. Of 64 placements 56 go to rank 2, 7 to rank 1 and 1 to rank 0.
  */
 public final class RankFloor {
-    /** Placements of a rank in a row, while requests of lower ranks wait. */
+    /** Most placements of a rank in a row while requests of lower ranks wait; the next one is of a lower rank. */
     private static final int MAX_IN_A_ROW = 7;
 
     private final int[] inARow;
--- a/relay/src/main/java/org/endivehold/relay/share/RankedShares.java
+++ b/relay/src/main/java/org/endivehold/relay/share/RankedShares.java
@@ -19,7 +19,10 @@
     private final int[] waiting = new int[RANKS];
     private final RankFloor floor = new RankFloor(RANKS);
 
-    /** Returns the rank of a class; the order of these numbers is that of {@link TrafficClass#MOST_URGENT_FIRST}. */
+    /**
+     * Returns the rank of a class; a larger number is more urgent, in accordance with
+     * {@link TrafficClass#MOST_URGENT_FIRST}.
+     */
     public static int rank(TrafficClass traffic) {
         return traffic.customerRank() * (TrafficClass.MAX_RANK + 1) + traffic.routeRank();
     }
