DrainTest waits for the phases of a stop by time, not by a number of requests

On a busy machine the requests took long enough.

Change: both loops go on until the condition holds, for 20 s at most; the conditions are the same.

--- a/relay/src/test/java/org/endivehold/relay/serve/DrainTest.java
+++ b/relay/src/test/java/org/endivehold/relay/serve/DrainTest.java
@@ -12,6 +12,7 @@
 import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
 import org.endivehold.relay.serve.ScriptedUpstream.End;
 import org.junit.jupiter.api.Test;
 
@@ -23,7 +24,8 @@
 class DrainTest {
     private static final String GOOD =
             "HTTP/1.1 200 OK\r\nattempt: ATTEMPT\r\nsignature: s\r\nContent-Length: 2\r\n\r\nok";
-    private static final int MAX_REQUESTS = 2_000;
+    /** Longer than the grace period, in nanoseconds: each phase of a stop begins within this time. */
+    private static final long LIMIT_NANOS = TimeUnit.SECONDS.toNanos(20);
     /** More than the buffers of a connection hold, in bytes. */
     private static final int LARGE_BYTES = 7 << 20;
 
@@ -38,10 +40,9 @@
             Future<Void> drained = drain(relay);
             assertEquals(200, sendRequest(relay).status());
             RawResponse response = sendRequest(relay);
-            int sent = 0;
-            while (response.status() == 200 && sent < MAX_REQUESTS) {
+            long end = System.nanoTime() + LIMIT_NANOS;
+            while (response.status() == 200 && System.nanoTime() < end) {
                 response = sendRequest(relay);
-                sent++;
             }
             assertEquals(503, response.status());
             assertTrue(response.head().contains("retry-after"));
@@ -111,7 +112,8 @@
     }
 
     private static void awaitClosedPort(RelayFixture relay) {
-        for (int i = 0; i < 10 * MAX_REQUESTS; i++) {
+        long end = System.nanoTime() + LIMIT_NANOS;
+        while (System.nanoTime() < end) {
             try {
                 RawResponse.send(relay.port(), "GET", "/safe/x", "", "attempt: b", "remaining: 10");
             } catch (ConnectException e) {
