--- a/relay/src/test/java/org/endivehold/relay/state/CopyExchangeTest.java
+++ b/relay/src/test/java/org/endivehold/relay/state/CopyExchangeTest.java
@@ -227,8 +227,11 @@
     private boolean allKnow(String key) {
         return daemons.stream()
                 .filter(daemon -> daemon.client.fault != Fault.FROZEN)
-                .allMatch(daemon ->
-                        daemon.copy.items().stream().anyMatch(item -> item.key().equals(key)));
+                .allMatch(daemon -> knows(daemon, key));
+    }
+
+    private static boolean knows(Daemon daemon, String key) {
+        return daemon.copy.items().stream().anyMatch(item -> item.key().equals(key));
     }
 
     /** All three coordinators sent each change in full to all daemons of all zones. */
@@ -275,6 +278,28 @@
         assertTrue(millis <= APPLY_MILLIS, () -> millis + " ms");
     }
 
+    /**
+     * Guards against daemons that rely on watchers which no longer hear from the store: these went on announcing their
+     * copies for a whole wait of a watch, longer than a change may take.
+     */
+    @ParameterizedTest(name = "the first {0} coordinators are {1}")
+    @CsvSource({"2, FROZEN", "2, REFUSED", "2, SILENT", "3, FROZEN", "3, REFUSED", "3, SILENT"})
+    void aChangeReachesAllOtherDaemonsInTimeWhenTheWatchersAreLost(int lost, Fault fault) throws Exception {
+        fleet();
+        List<DaemonEntry> coordinators = coordinators().subList(0, lost);
+        List<Daemon> others =
+                daemons.stream().filter(d -> !coordinators.contains(d.entry)).toList();
+        CompletableFuture<Long> written = new CompletableFuture<>();
+        vertx.runOnContext(ignored -> {
+            daemons.stream().filter(d -> !others.contains(d)).forEach(d -> d.client.fault = fault);
+            store.write("s/b", "2");
+            written.complete(System.nanoTime());
+        });
+        until("the others know", () -> {}, () -> others.stream().allMatch(d -> knows(d, "s/b")));
+        long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - written.get());
+        assertTrue(millis <= APPLY_MILLIS, () -> millis + " ms");
+    }
+
     /** Both watchers are lost: each of the other daemons went on watching for itself. */
     @Test
     void theThirdCoordinatorWatchesForAllWhenTheFirstTwoAreLost() throws Exception {
