--- a/daemon/src/main/java/org/endivehold/daemon/entry/EntryDaemon.java
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/EntryDaemon.java
@@ -54,6 +54,7 @@
 import org.endivehold.relay.state.FleetState;
 import org.endivehold.relay.state.SharedStore;
 import org.endivehold.relay.state.StoreDecoder;
+import org.endivehold.relay.state.StoreHeartbeat;
 import org.endivehold.relay.state.WatchedPrefix;
 import org.jboss.logging.Logger;
 
@@ -74,6 +75,7 @@
     private final PeerMesh mesh;
     private final WatchedPrefix operatorEntries;
     private final WatchedPrefix upstreamEntries;
+    private final StoreHeartbeat heartbeat;
     private final CopyExchange copyExchange;
     private final FleetState fleet;
     private final JobReplicator jobReplicator;
@@ -122,7 +124,9 @@
         fleet = new FleetState(decoder, ticker, availability, copyAges());
         operatorEntries = copy(store, decoder.operatorPrefix(), random);
         upstreamEntries = copy(store, decoder.upstreamPrefix(), random);
-        copyExchange = new CopyExchange(vertx, directory, List.of(operatorEntries, upstreamEntries), mesh);
+        List<WatchedPrefix> copies = List.of(operatorEntries, upstreamEntries);
+        heartbeat = new StoreHeartbeat(vertx, ticker, store, copies);
+        copyExchange = new CopyExchange(vertx, directory, copies, heartbeat, mesh);
         LocalScheduler local =
                 new LocalScheduler(vertx, ticker, random, fleet, health, jobReplicator, new EngineDivision(daemons));
         SharedScheduler scheduler = new SharedScheduler(vertx, ticker, self, local, jobReplicator, mesh);
@@ -238,7 +242,7 @@
     private void startBackgroundWork() {
         operatorEntries.start();
         upstreamEntries.start();
-        copyExchange.start();
+        heartbeat.start();
         settings.seeds().forEach(mesh::addSeed);
         registration.start();
         barredTraits.start(suspects);
--- a/daemon/src/test/java/org/endivehold/daemon/entry/CountedStore.java
+++ b/daemon/src/test/java/org/endivehold/daemon/entry/CountedStore.java
@@ -150,6 +150,11 @@
             return answer("watch", () -> CountedStore.this.watch(prefix, after.revision(), vertx, waitMillis));
         }
 
+        @Override
+        public Future<Void> ping() {
+            return answer("ping", Future::succeededFuture);
+        }
+
         @Override
         public Future<StoreLease> grantLease(int ttlMillis) {
             return answer("lease", () -> Future.succeededFuture(new StoreLease(0, ++leases)));
--- a/daemon/src/test/java/org/endivehold/daemon/entry/InMemoryStore.java
+++ b/daemon/src/test/java/org/endivehold/daemon/entry/InMemoryStore.java
@@ -57,6 +57,11 @@
         return vertx.timer(waitMillis, TimeUnit.MILLISECONDS).map(waited -> new Changes(List.of(), after));
     }
 
+    @Override
+    public Future<Void> ping() {
+        return Future.succeededFuture();
+    }
+
     @Override
     public Future<StoreLease> grantLease(int ttlMillis) {
         return Future.succeededFuture(new StoreLease(1, 0));
--- a/daemon/src/test/java/org/endivehold/daemon/entry/StoreCallsTest.java
+++ b/daemon/src/test/java/org/endivehold/daemon/entry/StoreCallsTest.java
@@ -30,7 +30,7 @@
     private static final int OUTAGE_MILLIS = 4_000;
     private static final int RECOVERY_MILLIS = 4_000;
 
-    private static final Set<String> CHEAP = Set.of("renew", "stale_range");
+    private static final Set<String> CHEAP = Set.of("renew", "stale_range", "ping");
     private static final double MAX_START_PRICE = 115;
     private static final double MAX_CALM_PRICE = 38;
     private static final double MAX_OUTAGE_PRICE = 200;
@@ -94,7 +94,8 @@
     }
 
     /**
-     * Returns the price of the calls during a time; renewals and reads that may be stale cost a tenth of other calls.
+     * Returns the price of the calls during a time; renewals, and pings and other reads that may be stale, cost a tenth
+     * of other calls.
      */
     private double priceDuring(String phase, int millis) throws Exception {
         await(loops.get(0).timer(millis, TimeUnit.MILLISECONDS));
--- a/relay/src/main/java/org/endivehold/relay/peer/CopyExchange.java
+++ b/relay/src/main/java/org/endivehold/relay/peer/CopyExchange.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.endivehold.relay.state.SharedStore;
+import org.endivehold.relay.state.StoreHeartbeat;
 import org.endivehold.relay.state.StorePosition;
 import org.endivehold.relay.state.WatchedPrefix;
 
@@ -16,11 +17,11 @@
  *
  * <p>Store calls are expensive, and if every daemon watched the store, the number of watches would equal the number of
  * daemons. In a large fleet only the first two coordinators watch ({@link DaemonDirectory}). They forward each change
- * at once and announce periodically that their copies are current, as long as the store confirms it. The other daemons
- * make no store calls while they receive these announcements. Correctness does not depend on which daemons watch: a
- * daemon that misses two announcements starts its own watch, and changes are ordered by position, regardless of the
- * sender. If it is the third coordinator, it announces its copies as well. Example: 60 daemons with two prefixes make 4
- * watch calls every 2.4 s instead of 120.
+ * at once and announce that their copies are current each time that the store answers a ping ({@link StoreHeartbeat}).
+ * The other daemons make no store calls while they receive these announcements. Correctness does not depend on which
+ * daemons watch: a daemon that misses two announcements starts its own watch, and changes are ordered by position,
+ * regardless of the sender. If it is the third coordinator, it announces its copies as well. Example: 60 daemons with
+ * two prefixes make 4 watch calls every 2.4 s instead of 120.
  *
  * <p>A change travels to another zone only for the coordinator there, which forwards it within its zone. The others
  * learn from the position in the next announcement of any coordinator that they miss it, and request a copy. So if the
@@ -29,8 +30,6 @@
  * <p>A daemon that cannot reach the store requests newer copies from other daemons.
  */
 public final class CopyExchange {
-    /** Interval between announcements that a copy is current, in milliseconds; see {@link WatchedPrefix}. */
-    private static final int ANNOUNCE_INTERVAL_MILLIS = 700;
     /** Duration of a store outage after which newer copies are requested from other daemons, in milliseconds. */
     private static final int COPY_REQUEST_AFTER_MILLIS = 400;
     /**
@@ -55,24 +54,26 @@
      * @param vertx runs the timers
      * @param directory the known daemons; decides whether this daemon is a coordinator
      * @param copies this daemon's copies, one for each prefix
+     * @param heartbeat tells when the store has answered
      * @param mesh connections to other daemons
      */
-    public CopyExchange(Vertx vertx, DaemonDirectory directory, List<WatchedPrefix> copies, PeerMesh mesh) {
+    public CopyExchange(
+            Vertx vertx,
+            DaemonDirectory directory,
+            List<WatchedPrefix> copies,
+            StoreHeartbeat heartbeat,
+            PeerMesh mesh) {
         this.vertx = vertx;
         this.directory = directory;
         this.copies = copies;
         this.mesh = mesh;
         copies.stream().skip(1).forEach(copy -> copy.tryAfter(copies.get(0)));
+        heartbeat.onAnswer(this::announceCurrent);
         for (WatchedPrefix copy : copies) {
             copy.onChanges((changes, after) -> forwardChanges(copy, changes, after));
         }
     }
 
-    /** Starts the periodic announcements that copies are current. */
-    public void start() {
-        vertx.setPeriodic(ANNOUNCE_INTERVAL_MILLIS, timer -> announceCurrent());
-    }
-
     /** Requests newer copies during a store outage, from a different daemon on each call. */
     public void requestNewerCopies() {
         for (WatchedPrefix copy : copies) {
@@ -204,6 +205,7 @@
         }
     }
 
+    /** Announces the copies that are current; the store has just answered this daemon. */
     private void announceCurrent() {
         if (isCoordinator()) {
             for (WatchedPrefix copy : copies) {
--- a/relay/src/main/java/org/endivehold/relay/state/SharedStore.java
+++ b/relay/src/main/java/org/endivehold/relay/state/SharedStore.java
@@ -72,6 +72,12 @@
      */
     Future<Changes> watch(String prefix, StorePosition after, int waitMillis);
 
+    /**
+     * Checks that the store answers this daemon, for the costs of a stale read. The answer proves nothing about the
+     * connections of other calls; no answer means that they may be as silent.
+     */
+    Future<Void> ping();
+
     /** Creates a lease that expires after {@code ttlMillis} without renewal. */
     Future<StoreLease> grantLease(int ttlMillis);
 
--- /dev/null
+++ b/relay/src/main/java/org/endivehold/relay/state/StoreEvents.java
@@ -0,0 +1,71 @@
+package org.endivehold.relay.state;
+
+import org.endivehold.misc.LogEvent;
+import org.jboss.logging.Logger;
+
+/** Log events of the copy of one prefix of the store; docs/METRICS-AND-LOGS.md lists them. */
+final class StoreEvents {
+    private static final Logger log = Logger.getLogger(StoreEvents.class);
+
+    private final String prefix;
+
+    StoreEvents(String prefix) {
+        this.prefix = prefix;
+    }
+
+    private LogEvent event(String name) {
+        return LogEvent.of(name).with("prefix", prefix);
+    }
+
+    void copyTaken(StorePosition had, StorePosition taken, String from) {
+        event("store-copy-taken")
+                .with("from", from)
+                .with("era", taken.era())
+                .with("revision", taken.revision())
+                .with("had", had.revision())
+                .info(log);
+    }
+
+    void confirmationExpired(StorePosition position, double unheardMillis) {
+        event("store-confirmation-expired")
+                .with("revision", position.revision())
+                .with("unheard_ms", Math.round(unheardMillis))
+                .info(log);
+    }
+
+    void answerNotHandled(StorePosition position, Throwable cause) {
+        event("store-answer-not-handled")
+                .with("revision", position.revision())
+                .with("reason", cause)
+                .warn(log);
+    }
+
+    void regained(String from, double silentMillis) {
+        event("store-regained")
+                .with("from", from)
+                .with("silent_ms", silentMillis)
+                .info(log);
+    }
+
+    void historyGone(StorePosition position) {
+        event("store-history-gone").with("revision", position.revision()).info(log);
+    }
+
+    /** The time since the copy was confirmed may be infinite. */
+    void lost(StorePosition position, double unheardMillis, Throwable cause) {
+        event("store-lost")
+                .with("revision", position.revision())
+                .with("unheard_ms", Math.round(Math.min(unheardMillis, Integer.MAX_VALUE)))
+                .with("reason", cause)
+                .warn(log);
+    }
+
+    void restored(StorePosition had, StorePosition to) {
+        event("store-restored")
+                .with("era", to.era())
+                .with("revision", to.revision())
+                .with("had_era", had.era())
+                .with("had", had.revision())
+                .warn(log);
+    }
+}
--- a/relay/src/main/java/org/endivehold/relay/state/WatchedPrefix.java
+++ b/relay/src/main/java/org/endivehold/relay/state/WatchedPrefix.java
@@ -10,9 +10,7 @@
 import org.apache.commons.rng.UniformRandomProvider;
 import org.endivehold.error.EndiveholdException;
 import org.endivehold.error.ErrorType;
-import org.endivehold.misc.LogEvent;
 import org.endivehold.misc.Ticker;
-import org.jboss.logging.Logger;
 
 /**
  * A copy of all items under one prefix of the store, kept current by a long-polled watch.
@@ -61,26 +59,12 @@
     private static final int WATCH_ANSWER_MARGIN_MILLIS = 500;
     /** Validity of a confirmation by a watching daemon, in milliseconds: two intervals and a margin. */
     static final int PEER_CONFIRMATION_MILLIS = 1_600;
-    /** Mean delay after the first failed call, in milliseconds; it doubles with each failure. */
-    private static final int MIN_BACKOFF_MILLIS = 100;
-    /** Largest mean delay after failed calls, in milliseconds; not smaller because failed calls are charged, too. */
-    private static final int MAX_BACKOFF_MILLIS = 800;
-    /**
-     * Mean delay after a failed call while a coordinator reports the store as unavailable, in milliseconds. The
-     * coordinators find earlier that it is back; the longest delay, half as long again, is within the time in which a
-     * configuration has to be in force, in case the store serves this daemon alone.
-     */
-    private static final int REPORTED_BACKOFF_MILLIS = 1_000;
     /**
      * Interval at which a copy that makes no calls checks whether those of another one succeed again, in milliseconds.
      */
     private static final int HELD_BACK_POLL_MILLIS = 100;
-    /** Longest time after a failed call for which the failures of another copy delay the next one, in milliseconds. */
-    private static final int HELD_BACK_MILLIS = 2_500;
-    /** Validity of a coordinator's report that the store is unavailable, in milliseconds: two pings and a margin. */
-    private static final int REPORT_MILLIS = 1_600;
-
-    private static final Logger log = Logger.getLogger(WatchedPrefix.class);
+    /** Delay after an answer that could not be handled, in milliseconds. */
+    private static final int NOT_HANDLED_DELAY_MILLIS = 800;
 
     private final Vertx vertx;
     private final SharedStore store;
@@ -89,24 +73,26 @@
     private final UniformRandomProvider random;
     private final ItemListener listener;
     private final PrefixCopy copy;
+    private final StoreOutage outage;
+    private final StoreEvents events;
     /** Longest wait of one watch call, in milliseconds. */
     private final int watchWaitMillis;
 
     private BiConsumer<SharedStore.Changes, StorePosition> changeListener = (changes, after) -> {};
     private boolean rangeReadNeeded = true;
     private boolean staleReadAllowed = true;
-    private int failures;
-    private double outageSince = -1;
-    private double outageEndedAt = Double.NEGATIVE_INFINITY;
     private double restoredAt = Double.NEGATIVE_INFINITY;
     private double confirmedAt = Double.NEGATIVE_INFINITY;
     private double confirmCallAt = Double.NEGATIVE_INFINITY;
     private double heardAt = Double.NEGATIVE_INFINITY;
+    /** Whether this copy has made no calls of its own since another daemon confirmed it. */
+    private boolean confirmedByPeer;
+
     private double peerConfirmedUntil = Double.NEGATIVE_INFINITY;
     private Optional<WatchedPrefix> triedBefore = Optional.empty();
-    private double failedAt = Double.NEGATIVE_INFINITY;
-    private double reportedUnavailableUntil = Double.NEGATIVE_INFINITY;
     private boolean closed;
+    /** Number of the last call or delay; what an earlier one brings is not handled. */
+    private int currentStep;
 
     /** Creates an empty copy as below, with a stable window of {@value #DEFAULT_STABLE_WINDOW_MILLIS} ms. */
     public WatchedPrefix(
@@ -145,6 +131,8 @@
         this.random = random;
         this.listener = listener;
         this.copy = new PrefixCopy(listener);
+        this.events = new StoreEvents(prefix);
+        this.outage = new StoreOutage(ticker, random);
         this.watchWaitMillis = Math.max(MIN_WATCH_WAIT_MILLIS, stableWindowMillis - DETECTION_MILLIS);
     }
 
@@ -183,11 +171,26 @@
         return copy.items();
     }
 
+    /** Returns whether this copy is kept current by a watch of this daemon, and its last call was answered. */
+    boolean isWatching() {
+        return !closed && outage.failures() == 0 && !reliesOnPeer() && isFilled();
+    }
+
+    /**
+     * Abandons the watch in progress, since the store did not answer a ping: the connection of the watch may be silent,
+     * too. After the delay of a failed call, a watch that does not wait reports what was missed.
+     */
+    void abandonWatch(Throwable cause) {
+        if (isWatching()) {
+            failed(cause);
+        }
+    }
+
     /**
      * Returns whether this daemon watches the store, which confirmed the copy within the duration of one watch call.
      */
     public boolean confirmed() {
-        return failures == 0
+        return outage.failures() == 0
                 && !reliesOnPeer()
                 && ticker.millis() - confirmedAt <= watchWaitMillis + WATCH_ANSWER_MARGIN_MILLIS;
     }
@@ -201,7 +204,7 @@
      */
     public Future<Void> confirmNow() {
         double now = ticker.millis();
-        if (closed || !isFilled() || failures > 0 || reliesOnPeer() || now - confirmCallAt < watchWaitMillis) {
+        if (closed || !isFilled() || outage.failures() > 0 || reliesOnPeer() || now - confirmCallAt < watchWaitMillis) {
             return Future.failedFuture("no call is due");
         }
         confirmCallAt = now;
@@ -224,25 +227,20 @@
     }
 
     private boolean isHeldBack() {
-        return failures > 0
-                && ticker.millis() - failedAt < HELD_BACK_MILLIS
+        return outage.mayWaitForOther()
                 && triedBefore
                         .filter(other -> other.outageMillis() > 0 || other.reliesOnPeer())
                         .isPresent();
     }
 
-    private boolean isReportedUnavailable() {
-        return ticker.millis() < reportedUnavailableUntil;
-    }
-
     /** Handles the report of a daemon that watches the store for this one that the store does not answer it. */
     public void reportUnavailable() {
-        reportedUnavailableUntil = ticker.millis() + REPORT_MILLIS;
+        outage.reported();
     }
 
     /** Returns the duration of the current store outage, in milliseconds; 0 if there is none. */
     public double outageMillis() {
-        return outageSince < 0 ? 0 : ticker.millis() - outageSince;
+        return outage.millis();
     }
 
     /**
@@ -255,7 +253,7 @@
 
     /** Returns the time since the end of the last store outage, in milliseconds; infinite if there was none. */
     public double sinceOutageMillis() {
-        return ticker.millis() - outageEndedAt;
+        return outage.sinceEndMillis();
     }
 
     /** Returns the time since this copy learned of a restore of the store, in milliseconds; infinite if it did not. */
@@ -279,7 +277,7 @@
         }
         double now = ticker.millis();
         peerConfirmedUntil = now + PEER_CONFIRMATION_MILLIS;
-        outageEndedAt = Math.max(outageEndedAt, now - sinceOutageMillis);
+        outage.endedAtLeast(now - sinceOutageMillis);
         answered("peer");
         boolean complete = !changedAt.isAfter(position());
         if (complete) {
@@ -311,13 +309,7 @@
         if (!theirs.position().isAfter(position())) {
             return;
         }
-        LogEvent.of("store-copy-taken")
-                .with("prefix", prefix)
-                .with("from", from)
-                .with("era", theirs.position().era())
-                .with("revision", theirs.position().revision())
-                .with("had", position().revision())
-                .info(log);
+        events.copyTaken(position(), theirs.position(), from);
         replace(theirs);
     }
 
@@ -327,18 +319,36 @@
         }
         double confirmedMillis = peerConfirmedUntil - ticker.millis();
         if (confirmedMillis > 0 && isFilled()) {
-            vertx.setTimer((long) confirmedMillis + 1, timer -> startNextCall());
-        } else if (isHeldBack()) {
-            vertx.setTimer(HELD_BACK_POLL_MILLIS, timer -> startNextCall());
-        } else if (rangeReadNeeded || failures > 1) {
+            confirmedByPeer = true;
+            startNextCallAfter((int) confirmedMillis + 1);
+            return;
+        }
+        if (confirmedByPeer) {
+            confirmedByPeer = false;
+            events.confirmationExpired(position(), sinceHeardMillis());
+        }
+        if (isHeldBack()) {
+            startNextCallAfter(HELD_BACK_POLL_MILLIS);
+        } else if (rangeReadNeeded || outage.failures() > 1) {
             readRange();
         } else {
             call(() -> store.watch(prefix, position(), waitMillis()), this::apply);
         }
     }
 
+    private void startNextCallAfter(int millis) {
+        int step = ++currentStep;
+        vertx.setTimer(millis, timer -> {
+            if (step == currentStep) {
+                startNextCall();
+            }
+        });
+    }
+
     private int waitMillis() {
-        return failures > 0 ? CATCH_UP_WAIT_MILLIS : watchWaitMillis - random.nextInt(watchWaitMillis / WAIT_SPREAD);
+        return outage.failures() > 0
+                ? CATCH_UP_WAIT_MILLIS
+                : watchWaitMillis - random.nextInt(watchWaitMillis / WAIT_SPREAD);
     }
 
     private void readRange() {
@@ -354,30 +364,35 @@
      * if the call cannot be made or its answer cannot be handled.
      */
     private <T> void call(Supplier<Future<T>> call, Consumer<T> onAnswer) {
-        Future.succeededFuture()
-                .compose(ignored -> call.get())
-                .onFailure(this::failed)
-                .onSuccess(answer -> {
-                    answered("store");
-                    Future.succeededFuture(answer)
-                            .map(received -> {
-                                onAnswer.accept(received);
-                                return received;
-                            })
-                            .onSuccess(handled -> startNextCall())
-                            .onFailure(this::answerNotHandled);
-                });
+        int step = ++currentStep;
+        Future.succeededFuture().compose(ignored -> call.get()).onComplete(done -> {
+            if (step != currentStep) {
+                return;
+            }
+            if (done.failed()) {
+                failed(done.cause());
+            } else {
+                answered("store");
+                handle(done.result(), onAnswer);
+            }
+        });
+    }
+
+    private <T> void handle(T answer, Consumer<T> onAnswer) {
+        Future.succeededFuture(answer)
+                .map(received -> {
+                    onAnswer.accept(received);
+                    return received;
+                })
+                .onSuccess(handled -> startNextCall())
+                .onFailure(this::answerNotHandled);
     }
 
     /** Reads the whole range after a pause: what of the answer has been handled is not known. */
     private void answerNotHandled(Throwable cause) {
-        LogEvent.of("store-answer-not-handled")
-                .with("prefix", prefix)
-                .with("revision", position().revision())
-                .with("reason", cause)
-                .warn(log);
+        events.answerNotHandled(position(), cause);
         rangeReadNeeded = true;
-        vertx.setTimer(MAX_BACKOFF_MILLIS, timer -> startNextCall());
+        startNextCallAfter(NOT_HANDLED_DELAY_MILLIS);
     }
 
     /** A stale read without items has no position to watch from. */
@@ -399,58 +414,33 @@
 
     /** Ends the outage, if there is one: the store has answered this daemon or a daemon that confirmed its copy. */
     private void answered(String from) {
-        failures = 0;
         heardAt = ticker.millis();
-        if (outageSince >= 0) {
-            LogEvent.of("store-regained")
-                    .with("prefix", prefix)
-                    .with("from", from)
-                    .with("silent_ms", ticker.millis() - outageSince)
-                    .info(log);
-            outageSince = -1;
-            outageEndedAt = ticker.millis();
+        double silentMillis = outage.millis();
+        outage.answered();
+        if (silentMillis > 0) {
+            events.regained(from, silentMillis);
         }
     }
 
     private void failed(Throwable cause) {
         if (cause instanceof EndiveholdException e && e.type() == ErrorType.STORE_HISTORY_GONE) {
-            LogEvent.of("store-history-gone")
-                    .with("prefix", prefix)
-                    .with("revision", position().revision())
-                    .info(log);
+            events.historyGone(position());
             rangeReadNeeded = true;
             staleReadAllowed = false;
             startNextCall();
             return;
         }
-        if (outageSince < 0) {
-            outageSince = ticker.millis();
-            LogEvent.of("store-lost")
-                    .with("prefix", prefix)
-                    .with("revision", position().revision())
-                    .with("unheard_ms", Math.round(Math.min(sinceHeardMillis(), Integer.MAX_VALUE)))
-                    .with("reason", cause)
-                    .warn(log);
+        if (outage.failures() == 0) {
+            events.lost(position(), sinceHeardMillis(), cause);
         }
-        failedAt = ticker.millis();
-        int backoff = isReportedUnavailable()
-                ? REPORTED_BACKOFF_MILLIS
-                : Math.min(MAX_BACKOFF_MILLIS, MIN_BACKOFF_MILLIS << Math.min(failures, 10));
-        failures++;
-        vertx.setTimer(backoff / 2 + random.nextInt(backoff), timer -> startNextCall());
+        startNextCallAfter(outage.failed());
     }
 
     /** Starts the grace period for entries that the restored store lacks, before they are reported as removed. */
     private void restored(StorePosition to) {
         restoredAt = ticker.millis();
-        outageEndedAt = restoredAt;
-        LogEvent.of("store-restored")
-                .with("prefix", prefix)
-                .with("era", to.era())
-                .with("revision", to.revision())
-                .with("had_era", position().era())
-                .with("had", position().revision())
-                .warn(log);
+        outage.endedAtLeast(restoredAt);
+        events.restored(position(), to);
     }
 
     private void apply(SharedStore.Changes changes) {
--- a/relay/src/test/java/org/endivehold/relay/state/CopyExchangeTest.java
+++ b/relay/src/test/java/org/endivehold/relay/state/CopyExchangeTest.java
@@ -41,6 +41,7 @@
     private static final int APPLY_MILLIS = 2_000;
 
     private static final int WATCHERS = 2;
+    private static final int PING_TIMEOUT_MILLIS = 600;
     /** Checks in a row by which a state counts as lasting. */
     private static final int LASTING_CHECKS = 20;
 
@@ -86,6 +87,16 @@
             };
         }
 
+        @Override
+        public Future<Void> ping() {
+            return switch (fault) {
+                case NONE -> store.ping();
+                case SILENT ->
+                    vertx.timer(PING_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS).compose(expired -> refused());
+                default -> refused();
+            };
+        }
+
         @Override
         public Future<StoreLease> grantLease(int ttlMillis) {
             return store.grantLease(ttlMillis);
@@ -115,6 +126,7 @@
         private final DaemonEntry entry;
         private final DaemonDirectory directory;
         private final PeerMesh mesh;
+        private final StoreHeartbeat heartbeat;
         private final CopyExchange exchange;
         private int changesOfOtherZones;
 
@@ -124,13 +136,14 @@
             }
             directory = new DaemonDirectory(entry);
             mesh = new PeerMesh(vertx, Ticker.system(), directory, this);
-            exchange = new CopyExchange(vertx, directory, List.of(copy), mesh);
+            heartbeat = new StoreHeartbeat(vertx, Ticker.system(), client, List.of(copy));
+            exchange = new CopyExchange(vertx, directory, List.of(copy), heartbeat, mesh);
             mesh.start().toCompletionStage().toCompletableFuture().get(LIMIT_SECONDS, TimeUnit.SECONDS);
         }
 
         void begin(List<DaemonEntry> fleet) {
             copy.start();
-            exchange.start();
+            heartbeat.start();
             mesh.addDaemons(fleet);
         }
 
--- a/relay/src/test/java/org/endivehold/relay/state/FakeStore.java
+++ b/relay/src/test/java/org/endivehold/relay/state/FakeStore.java
@@ -193,6 +193,11 @@
         return watch.promise().future();
     }
 
+    @Override
+    public Future<Void> ping() {
+        return down ? unavailable() : Future.succeededFuture();
+    }
+
     @Override
     public Future<StoreLease> grantLease(int ttlMillis) {
         return Future.succeededFuture(new StoreLease(era, 1));
--- a/relay/src/test/java/org/endivehold/relay/state/FleetConfigurationTest.java
+++ b/relay/src/test/java/org/endivehold/relay/state/FleetConfigurationTest.java
@@ -56,6 +56,11 @@
             return never.future();
         }
 
+        @Override
+        public Future<Void> ping() {
+            return store.ping();
+        }
+
         @Override
         public Future<StoreLease> grantLease(int ttlMillis) {
             return store.grantLease(ttlMillis);
@@ -83,6 +88,7 @@
         private final WatchedPrefix copy;
         private final DaemonEntry entry;
         private final PeerMesh mesh;
+        private final StoreHeartbeat heartbeat;
         private final CopyExchange copies;
         private final ConfigurationExchange configurations;
 
@@ -99,14 +105,15 @@
             }
             DaemonDirectory directory = new DaemonDirectory(entry);
             mesh = new PeerMesh(vertx, Ticker.system(), directory, this);
-            copies = new CopyExchange(vertx, directory, List.of(copy), mesh);
+            heartbeat = new StoreHeartbeat(vertx, Ticker.system(), itsStore, List.of(copy));
+            copies = new CopyExchange(vertx, directory, List.of(copy), heartbeat, mesh);
             configurations = new ConfigurationExchange(vertx, fleet.configuration(), mesh);
             mesh.start().toCompletionStage().toCompletableFuture().get(LIMIT_SECONDS, TimeUnit.SECONDS);
             daemons.add(this);
             List<DaemonEntry> known = daemons.stream().map(d -> d.entry).toList();
             vertx.runOnContext(ignored -> {
                 copy.start();
-                copies.start();
+                heartbeat.start();
                 mesh.addDaemons(known);
             });
         }
