--- a/daemon/src/main/java/org/endivehold/daemon/entry/EntryDaemon.java
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/EntryDaemon.java
@@ -131,12 +131,7 @@
                 new LocalScheduler(vertx, ticker, random, fleet, health, jobReplicator, new EngineDivision(daemons));
         SharedScheduler scheduler = new SharedScheduler(vertx, ticker, self, local, jobReplicator, mesh);
         ConfigurationExchange configurations = new ConfigurationExchange(vertx, fleet.configuration(), mesh);
-        barredTraits = new BarredTraitStore(
-                vertx,
-                store,
-                decoder.barredTraitPrefix(),
-                ticker,
-                trait -> RendezvousHash.chosen(self, directory.names(), trait.toString(), BARRED_TRAIT_WRITERS));
+        barredTraits = barredTraits(store, decoder, directory);
         paths = new PathMonitor(vertx, ticker, random, fleet, new ConnectionProbe(vertx));
         neighbours = new Neighbours(ticker, random, new MeshPathPeers(mesh));
         suspects = new CrashSuspects(
@@ -189,6 +184,15 @@
         return new WatchedPrefix(vertx, store, prefix, ticker, random, fleet, windowMillis);
     }
 
+    private BarredTraitStore barredTraits(SharedStore store, StoreDecoder decoder, DaemonDirectory directory) {
+        return new BarredTraitStore(
+                vertx,
+                store,
+                decoder.barredTraitPrefix(),
+                ticker,
+                trait -> RendezvousHash.chosen(self, directory.names(), trait.toString(), BARRED_TRAIT_WRITERS));
+    }
+
     private static RetryShare retries(RelayBounds bounds) {
         return new RetryShare(bounds.retryRatio(), bounds.retrySlack(), bounds.retryWindowMillis());
     }
