--- a/relay/src/main/java/org/endivehold/relay/serve/CallerServer.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/CallerServer.java
@@ -167,8 +167,7 @@
         if (sequence.isStopping()) {
             closeAfterResponse(request);
         }
-        if (!sequence.admits(context.now())) {
-            exchange.refuse(ErrorType.SHUTTING_DOWN, STOPPING_RETRY_AFTER_MILLIS);
+        if (refusedAsStopping(exchange)) {
             return;
         }
         request.exceptionHandler(failure -> exchange.addStep("request-broken"));
@@ -179,6 +178,15 @@
                 bytes -> whenFleetKnown(exchange, MAX_FLEET_POLLS, () -> route(exchange, request, bytes)));
     }
 
+    /** Refuses a request if this daemon takes no more; returns whether it does not. */
+    private boolean refusedAsStopping(Exchange exchange) {
+        boolean refused = !sequence.admits(context.now());
+        if (refused) {
+            exchange.refuse(ErrorType.SHUTTING_DOWN, STOPPING_RETRY_AFTER_MILLIS);
+        }
+        return refused;
+    }
+
     /** Closes a connection after its response; first the rest of the request is read, or the response might be lost. */
     private static void closeAfterResponse(HttpServerRequest request) {
         Promise<Void> sent = Promise.promise();
@@ -210,8 +218,9 @@
         requestsByConnection.computeIfPresent(connection, (c, count) -> Math.max(0, count - 1));
     }
 
+    /** Dispatches a request that is complete. Admission may have ended while its body was read. */
     private void route(Exchange exchange, HttpServerRequest request, Buffer body) {
-        if (!exchange.ended()) {
+        if (!exchange.ended() && !refusedAsStopping(exchange)) {
             dispatcher.dispatch(
                     exchange,
                     new IncomingRequest(
--- a/relay/src/test/java/org/endivehold/relay/serve/DrainTest.java
+++ b/relay/src/test/java/org/endivehold/relay/serve/DrainTest.java
@@ -111,6 +111,32 @@
         }
     }
 
+    /**
+     * Guards against a request that is complete only late in the grace period: it was passed on although the daemon
+     * took no requests any more, and cut with the end of the process, also where it may not be repeated.
+     */
+    @Test
+    void refusesARequestThatIsCompleteOnlyAfterAdmissionHasEnded() throws Exception {
+        try (RelayFixture relay = new RelayFixture();
+                Socket caller = new Socket(InetAddress.getLoopbackAddress(), relay.port())) {
+            Future<Void> drained = drain(relay);
+            String request = RawResponse.request("POST", "/unsafe/x", "body", "attempt: c", "remaining: 4000");
+            caller.getOutputStream()
+                    .write(request.substring(0, request.length() - 1).getBytes(StandardCharsets.UTF_8));
+            while (sendRequest(relay).status() == 200) {
+                assertFalse(drained.isComplete());
+            }
+            int arrivals = relay.arrivals();
+            caller.getOutputStream()
+                    .write(request.substring(request.length() - 1).getBytes(StandardCharsets.UTF_8));
+            RawResponse response = RawResponse.read(caller.getInputStream());
+            assertEquals(503, response.status());
+            assertTrue(response.head().contains("retry-after"));
+            assertEquals(arrivals, relay.arrivals());
+            RelayFixture.await(drained);
+        }
+    }
+
     private static void awaitClosedPort(RelayFixture relay) {
         long end = System.nanoTime() + LIMIT_NANOS;
         while (System.nanoTime() < end) {
