--- a/relay/src/main/java/org/endivehold/relay/state/StoreEvents.java
+++ b/relay/src/main/java/org/endivehold/relay/state/StoreEvents.java
@@ -5,7 +5,8 @@
 
 /** Log events of the copy of one prefix of the store; docs/METRICS-AND-LOGS.md lists them. */
 final class StoreEvents {
-    private static final Logger log = Logger.getLogger(StoreEvents.class);
+    /** The name that these events have always had in the logs. */
+    private static final Logger log = Logger.getLogger(WatchedPrefix.class);
 
     private final String prefix;
 
