Names: label() for the text of an enum constant in logs and messages, two texts of errors

The text of a store call that failed says that it was refused or not answered, and that of a broken upstream that its response ended early.

--- a/bench/src/main/java/org/endivehold/bench/LocalTool.java
+++ b/bench/src/main/java/org/endivehold/bench/LocalTool.java
@@ -52,7 +52,7 @@
             new LocalRun(directory, prompt, keep).run();
             return EXIT_OK;
         } catch (EndiveholdException e) {
-            System.err.println("run-local: " + e.type().word() + ": " + e.getMessage());
+            System.err.println("run-local: " + e.type().label() + ": " + e.getMessage());
             return EXIT_FAILED;
         }
     }
--- a/bench/src/main/java/org/endivehold/bench/RunCommand.java
+++ b/bench/src/main/java/org/endivehold/bench/RunCommand.java
@@ -141,7 +141,7 @@
             Experiment experiment, Size size, Configuration configuration, List<PolicyReport> reports) {
         return new ExperimentReport(
                 experiment.name(),
-                size.word(),
+                size.label(),
                 seed,
                 speed,
                 size.daemons(),
--- a/bench/src/main/java/org/endivehold/bench/caller/Call.java
+++ b/bench/src/main/java/org/endivehold/bench/caller/Call.java
@@ -25,7 +25,7 @@
     private static final String COMPLETIONS = "/v1/completions";
     private static final String STREAMS = "/v1/streams/";
     private static final String DEADLINE = "Endivehold-Deadline-Millis";
-    private static final String DEADLINE_EXCEEDED = ErrorType.DEADLINE_EXCEEDED.word();
+    private static final String DEADLINE_EXCEEDED = ErrorType.DEADLINE_EXCEEDED.label();
     private static final long GRACE_MILLIS = 1_000;
     private static final long RETRY_DELAY_MILLIS = 150;
     private static final int MAX_RETRIES = 12;
--- a/bench/src/main/java/org/endivehold/bench/experiment/PolicyRunner.java
+++ b/bench/src/main/java/org/endivehold/bench/experiment/PolicyRunner.java
@@ -95,7 +95,7 @@
                 next++;
                 disturbance.action().run(fleet);
                 marks.add(new Mark(disturbance.label(), callers.elapsedMillis(), StandinLog.now()));
-                progress.accept(plan.policy().word() + ": " + disturbance.label());
+                progress.accept(plan.policy().label() + ": " + disturbance.label());
             }
             balancer.refresh(fleet);
             if (callers.elapsedMillis() >= nextProgress) {
@@ -120,7 +120,7 @@
         progress.accept(String.format(
                 Locale.ROOT,
                 "%s: %2.0f of %d s, sent %d of %d, ended %d",
-                plan.policy().word(),
+                plan.policy().label(),
                 callers.elapsedMillis() / 1_000,
                 workload.millis() / 1_000,
                 callers.sent(),
--- a/bench/src/main/java/org/endivehold/bench/fleet/FleetPolicy.java
+++ b/bench/src/main/java/org/endivehold/bench/fleet/FleetPolicy.java
@@ -47,19 +47,19 @@
      *
      * @return the name in lower case with hyphens
      */
-    public String word() {
+    public String label() {
         return name().toLowerCase(Locale.ROOT).replace('_', '-');
     }
 
     /**
      * Finds a policy by its name on the command line.
      *
-     * @param word the name, as from {@link #word}
+     * @param label the name, as from {@link #label}
      * @return the policy; empty if there is none of this name
      */
-    public static Optional<FleetPolicy> of(String word) {
+    public static Optional<FleetPolicy> of(String label) {
         for (FleetPolicy policy : values()) {
-            if (policy.word().equals(word)) {
+            if (policy.label().equals(label)) {
                 return Optional.of(policy);
             }
         }
--- a/bench/src/main/java/org/endivehold/bench/measure/BandFigures.java
+++ b/bench/src/main/java/org/endivehold/bench/measure/BandFigures.java
@@ -53,7 +53,7 @@
         }
         return new BandFigures(
                 phase,
-                band.word(),
+                band.label(),
                 total.getTotalCount(),
                 millis(total, 50),
                 millis(total, 95),
--- a/bench/src/main/java/org/endivehold/bench/measure/PolicyReport.java
+++ b/bench/src/main/java/org/endivehold/bench/measure/PolicyReport.java
@@ -92,7 +92,7 @@
             }
         }
         return new PolicyReport(
-                run.policy().word(),
+                run.policy().label(),
                 run.results().size(),
                 outcomes,
                 errors,
@@ -114,7 +114,7 @@
      */
     public Optional<BandFigures> band(String phase, LengthBand band) {
         return bands.stream()
-                .filter(b -> b.phase().equals(phase) && b.band().equals(band.word()) && b.count() > 0)
+                .filter(b -> b.phase().equals(phase) && b.band().equals(band.label()) && b.count() > 0)
                 .findFirst();
     }
 
--- a/bench/src/main/java/org/endivehold/bench/measure/Targets.java
+++ b/bench/src/main/java/org/endivehold/bench/measure/Targets.java
@@ -34,7 +34,7 @@
         for (LengthBand band : LengthBand.values()) {
             report.band(Phase.SURGE, band)
                     .ifPresent(b -> all.addUpperBound(
-                            "p95 beyond bare prefill, surge " + band.word() + ", ms",
+                            "p95 beyond bare prefill, surge " + band.label() + ", ms",
                             MAX_EXCESS_MILLIS / speed,
                             b.excessP95()));
         }
--- a/bench/src/main/java/org/endivehold/bench/measure/TextReport.java
+++ b/bench/src/main/java/org/endivehold/bench/measure/TextReport.java
@@ -129,7 +129,7 @@
             if (figures.isPresent() && baselineFigures.isPresent()) {
                 line(
                         "p95 of %s in %s: %s %.1f ms / %s %.1f ms = %.2f",
-                        band.word(),
+                        band.label(),
                         phase,
                         policy.policy(),
                         figures.get().p95(),
--- a/bench/src/main/java/org/endivehold/bench/workload/LengthBand.java
+++ b/bench/src/main/java/org/endivehold/bench/workload/LengthBand.java
@@ -41,7 +41,7 @@
      *
      * @return lower and upper bound, such as {@code 4k-16k}
      */
-    public String word() {
+    public String label() {
         return word;
     }
 
--- a/bench/src/main/java/org/endivehold/bench/workload/Size.java
+++ b/bench/src/main/java/org/endivehold/bench/workload/Size.java
@@ -55,12 +55,12 @@
     /**
      * Finds a site by its name on the command line.
      *
-     * @param word the name, as from {@link #word}
+     * @param label the name, as from {@link #label}
      * @return the site; empty if there is none of this name
      */
-    public static Optional<Size> of(String word) {
+    public static Optional<Size> of(String label) {
         for (Size size : values()) {
-            if (size.word().equals(word)) {
+            if (size.label().equals(label)) {
                 return Optional.of(size);
             }
         }
@@ -72,7 +72,7 @@
      *
      * @return the name in lower case
      */
-    public String word() {
+    public String label() {
         return name().toLowerCase(Locale.ROOT);
     }
 
@@ -84,7 +84,7 @@
      * @throws EndiveholdException if it is missing or invalid
      */
     public Configuration configuration(Path examples) throws EndiveholdException {
-        return ConfigurationReader.readDirectory(examples.resolve(word())).orThrow();
+        return ConfigurationReader.readDirectory(examples.resolve(label())).orThrow();
     }
 
     /**
--- a/cli/src/main/java/org/endivehold/cli/LocalDirectory.java
+++ b/cli/src/main/java/org/endivehold/cli/LocalDirectory.java
@@ -55,7 +55,7 @@
                 .forEach(fault -> faults.add(new JsonObject()
                         .put("object", fault.object())
                         .put("field", fault.field())
-                        .put("reason", fault.reason().word())
+                        .put("reason", fault.reason().label())
                         .put("detail", fault.detail())));
         return faults;
     }
--- a/cli/src/main/java/org/endivehold/cli/StateEdit.java
+++ b/cli/src/main/java/org/endivehold/cli/StateEdit.java
@@ -48,7 +48,7 @@
         JsonArray objects = newest.getJsonArray("objects");
         for (int i = 0; i < objects.size(); i++) {
             JsonObject object = objects.getJsonObject(i);
-            if (kind.word().equals(object.getString("kind")) && name.equals(object.getString("name"))) {
+            if (kind.label().equals(object.getString("kind")) && name.equals(object.getString("name"))) {
                 if (state.equals(object.getString("state"))) {
                     return unchanged(newest.getLong("revision"));
                 }
--- a/core/src/main/java/org/endivehold/admission/AdmissionQueue.java
+++ b/core/src/main/java/org/endivehold/admission/AdmissionQueue.java
@@ -99,7 +99,7 @@
         if (byLatestStart.size() >= maxQueued) {
             AdmissionEntry<T> evicted = selectEvicted(entry);
             EndiveholdException full = new EndiveholdException(
-                    ErrorType.QUEUE_FULL, evicted.requestClass().word());
+                    ErrorType.QUEUE_FULL, evicted.requestClass().label());
             refusal = refuse(evicted, full);
             if (evicted.number() == entry.number()) {
                 return refusal;
--- a/core/src/main/java/org/endivehold/config/ConfigurationFault.java
+++ b/core/src/main/java/org/endivehold/config/ConfigurationFault.java
@@ -43,13 +43,13 @@
          *
          * @return the name in lower case with hyphens
          */
-        public String word() {
+        public String label() {
             return name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
         }
     }
 
     @Override
     public String toString() {
-        return object + " " + field + ": " + reason.word() + ": " + detail;
+        return object + " " + field + ": " + reason.label() + ": " + detail;
     }
 }
--- a/core/src/main/java/org/endivehold/config/ConfigurationWriter.java
+++ b/core/src/main/java/org/endivehold/config/ConfigurationWriter.java
@@ -114,7 +114,7 @@
 
     private static ObjectNode add(SortedMap<ObjectKey, ObjectNode> objects, ObjectKind kind, Object name) {
         ObjectNode node = NODES.objectNode();
-        node.put("kind", kind.word());
+        node.put("kind", kind.label());
         node.put("name", name.toString());
         objects.put(new ObjectKey(kind, name.toString()), node);
         return node;
--- a/core/src/main/java/org/endivehold/config/ObjectKey.java
+++ b/core/src/main/java/org/endivehold/config/ObjectKey.java
@@ -19,6 +19,6 @@
 
     @Override
     public String toString() {
-        return kind.word() + "/" + name;
+        return kind.label() + "/" + name;
     }
 }
--- a/core/src/main/java/org/endivehold/config/ObjectKind.java
+++ b/core/src/main/java/org/endivehold/config/ObjectKind.java
@@ -30,7 +30,7 @@
      *
      * @return the name, for example {@code AvailabilityZone}
      */
-    public String word() {
+    public String label() {
         return jsonName;
     }
 
--- a/core/src/main/java/org/endivehold/config/ObjectParser.java
+++ b/core/src/main/java/org/endivehold/config/ObjectParser.java
@@ -32,7 +32,7 @@
             case CUSTOMER -> parseCustomer(new CustomerName(name), fields);
             case AVAILABILITY_ZONE -> parseZone(new ZoneName(name), fields);
             case UPSTREAM -> parseUpstream(new UpstreamName(name), fields);
-            default -> throw new IllegalArgumentException(kind.word());
+            default -> throw new IllegalArgumentException(kind.label());
         }
     }
 
--- a/core/src/main/java/org/endivehold/config/RequestClass.java
+++ b/core/src/main/java/org/endivehold/config/RequestClass.java
@@ -12,7 +12,7 @@
      *
      * @return the name in lower case
      */
-    public String word() {
+    public String label() {
         return name().toLowerCase(java.util.Locale.ROOT);
     }
 }
--- a/core/src/main/java/org/endivehold/error/ErrorManager.java
+++ b/core/src/main/java/org/endivehold/error/ErrorManager.java
@@ -32,7 +32,7 @@
                 "event=error source=%s code=%d type=%s message=\"%s\"",
                 source,
                 e.type().code(),
-                e.type().word(),
+                e.type().label(),
                 e.getMessage());
         for (ErrorListener listener : listeners) {
             listener.failed(source, e);
--- a/core/src/main/java/org/endivehold/error/ErrorType.java
+++ b/core/src/main/java/org/endivehold/error/ErrorType.java
@@ -40,14 +40,14 @@
     // Upstreams, from 300.
     UPSTREAM_REFUSED(300, Severity.INFO, "upstream %s refused the request: %s"),
     UPSTREAM_UNREACHABLE(301, Severity.WARNING, "upstream %s cannot be reached"),
-    UPSTREAM_BROKEN(302, Severity.WARNING, "upstream %s broke off the answer"),
+    UPSTREAM_BROKEN(302, Severity.WARNING, "upstream %s ended its response early"),
     UPSTREAM_PROTOCOL(303, Severity.ERROR, "upstream %s violated its protocol: %s"),
     UPSTREAM_TIMEOUT(304, Severity.WARNING, "upstream %s did not answer within %s milliseconds"),
     STREAM_UNKNOWN(305, Severity.INFO, "no stream is named %s"),
     ORDER_FENCED(306, Severity.WARNING, "upstream %s refused an order with old epoch %s"),
 
     // Platform, from 400.
-    STORE_UNAVAILABLE(400, Severity.WARNING, "the key-value service did not take the call: %s"),
+    STORE_UNAVAILABLE(400, Severity.WARNING, "the key-value service refused the call or did not answer: %s"),
     STORE_UNKNOWN(401, Severity.WARNING, "the key-value service may have taken the call: %s"),
     STORE_REFUSED(402, Severity.WARNING, "the key-value service refused the call: %s"),
     LEASE_LOST(403, Severity.WARNING, "the lease %s has expired"),
@@ -124,7 +124,7 @@
      *
      * @return the constant's name in lower case with hyphens, such as {@code queue-full}
      */
-    public String word() {
+    public String label() {
         return name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
     }
 }
--- a/core/src/main/java/org/endivehold/error/RunOutcome.java
+++ b/core/src/main/java/org/endivehold/error/RunOutcome.java
@@ -16,7 +16,7 @@
      *
      * @return the constant's name in lower case
      */
-    public String word() {
+    public String label() {
         return name().toLowerCase(java.util.Locale.ROOT);
     }
 }
--- a/core/src/main/java/org/endivehold/placement/LengthBand.java
+++ b/core/src/main/java/org/endivehold/placement/LengthBand.java
@@ -41,7 +41,7 @@
      *
      * @return the label, such as {@code 1k-4k}
      */
-    public String word() {
+    public String label() {
         return label;
     }
 }
--- a/core/src/main/java/org/endivehold/upstream/protocol/ErrorBody.java
+++ b/core/src/main/java/org/endivehold/upstream/protocol/ErrorBody.java
@@ -32,20 +32,20 @@
          * @return the name in lower case with hyphens
          */
         @JsonValue
-        public String word() {
+        public String label() {
             return name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
         }
 
         /**
          * Parses a code from JSON.
          *
-         * @param word the code as written in JSON
+         * @param label the code as written in JSON
          * @return the code; {@link #REFUSED} if it is unknown
          */
         @JsonCreator
-        public static Code of(String word) {
+        public static Code of(String label) {
             for (Code code : values()) {
-                if (code.word().equals(word)) {
+                if (code.label().equals(label)) {
                     return code;
                 }
             }
--- a/daemon/src/main/java/org/endivehold/daemon/http/Problem.java
+++ b/daemon/src/main/java/org/endivehold/daemon/http/Problem.java
@@ -30,11 +30,11 @@
     public static JsonObject document(EndiveholdException failure, RequestId request) {
         ErrorType type = failure.type();
         return new JsonObject()
-                .put("type", TYPE_PREFIX + type.word())
-                .put("title", type.word())
+                .put("type", TYPE_PREFIX + type.label())
+                .put("title", type.label())
                 .put("status", HttpStatus.of(type))
                 .put("detail", failure.getMessage())
-                .put("run", failure.run().word())
+                .put("run", failure.run().label())
                 .put("code", type.code())
                 .put("request", request.value());
     }
--- a/daemon/src/main/java/org/endivehold/daemon/operator/ConfigurationHandler.java
+++ b/daemon/src/main/java/org/endivehold/daemon/operator/ConfigurationHandler.java
@@ -175,7 +175,7 @@
         faults.forEach(fault -> array.add(new JsonObject()
                 .put("object", fault.object())
                 .put("field", fault.field())
-                .put("reason", fault.reason().word())
+                .put("reason", fault.reason().label())
                 .put("detail", fault.detail())));
         return array;
     }
--- a/daemon/src/main/java/org/endivehold/daemon/platform/EtcdStore.java
+++ b/daemon/src/main/java/org/endivehold/daemon/platform/EtcdStore.java
@@ -139,7 +139,7 @@
         return future.onComplete(done -> {
                     String outcome = done.succeeded()
                             ? "done"
-                            : EndiveholdException.unwrap(done.cause()).type().word();
+                            : EndiveholdException.unwrap(done.cause()).type().label();
                     context.meters()
                             .counter("endivehold.store.calls", "call", call, "outcome", outcome)
                             .increment();
--- a/daemon/src/main/java/org/endivehold/daemon/request/GenerationMetrics.java
+++ b/daemon/src/main/java/org/endivehold/daemon/request/GenerationMetrics.java
@@ -63,7 +63,7 @@
         meters.counter(
                         "endivehold.generation.ended",
                         "class",
-                        call.route().requestClass().word(),
+                        call.route().requestClass().label(),
                         "outcome",
                         outcome)
                 .increment();
@@ -72,8 +72,8 @@
     private void record(String name, GenerationCall call, long millis) {
         Timer.builder(name)
                 .tag("customer", label(call.customer()))
-                .tag("class", call.route().requestClass().word())
-                .tag("band", LengthBand.of(call.promptTokens()).word())
+                .tag("class", call.route().requestClass().label())
+                .tag("band", LengthBand.of(call.promptTokens()).label())
                 .serviceLevelObjectives(buckets())
                 .register(meters)
                 .record(Duration.ofMillis(millis));
--- a/daemon/src/main/java/org/endivehold/daemon/request/GenerationRun.java
+++ b/daemon/src/main/java/org/endivehold/daemon/request/GenerationRun.java
@@ -130,7 +130,7 @@
      */
     void fail(EndiveholdException failure, long retryAfterMillis) {
         if (!ended) {
-            finish(failure.type().word());
+            finish(failure.type().label());
             sink.fail(failure, retryAfterMillis);
         }
     }
@@ -287,7 +287,7 @@
             giveUp(ErrorType.RETRIES_EXHAUSTED, attempts);
             return;
         }
-        report.note("retry", "action=" + action + " after=" + failure.type().word());
+        report.note("retry", "action=" + action + " after=" + failure.type().label());
         listener.engineNeeded(this);
     }
 
--- a/daemon/src/main/java/org/endivehold/daemon/request/LongPromptStarter.java
+++ b/daemon/src/main/java/org/endivehold/daemon/request/LongPromptStarter.java
@@ -119,7 +119,7 @@
             reserving.remove(run);
             run.giveUp(ErrorType.DEADLINE_UNREACHABLE);
         } else {
-            run.report().note("reservation-refused", "type=" + failure.type().word());
+            run.report().note("reservation-refused", "type=" + failure.type().label());
             long nextDelayMillis = Math.min(MAX_RETRY_DELAY_MILLIS, 2 * delayMillis);
             resources.context().vertx().setTimer(delayMillis, id -> reserve(run, nextDelayMillis));
         }
--- a/daemon/src/main/java/org/endivehold/daemon/request/PlainCallRun.java
+++ b/daemon/src/main/java/org/endivehold/daemon/request/PlainCallRun.java
@@ -184,7 +184,7 @@
 
     private void attemptFailed(Permit permit, EndiveholdException failure) {
         context.trace()
-                .note(request.id(), "attempt-failed", "reason=" + failure.type().word());
+                .note(request.id(), "attempt-failed", "reason=" + failure.type().label());
         if (failure.type() == ErrorType.UPSTREAM_BROKEN || failure.type() == ErrorType.UPSTREAM_UNREACHABLE) {
             permits.suspect(permit.upstream());
         }
--- a/daemon/src/main/java/org/endivehold/daemon/request/ReattachedRun.java
+++ b/daemon/src/main/java/org/endivehold/daemon/request/ReattachedRun.java
@@ -91,7 +91,7 @@
      */
     void fail(EndiveholdException failure, long retryAfterMillis) {
         if (!ended) {
-            finish(failure.type().word());
+            finish(failure.type().label());
             sink.fail(failure, retryAfterMillis);
         }
     }
--- a/daemon/src/main/java/org/endivehold/daemon/request/RunReport.java
+++ b/daemon/src/main/java/org/endivehold/daemon/request/RunReport.java
@@ -92,7 +92,7 @@
         if (failure.run() == RunOutcome.NO && !accepted) {
             attemptsNotRun++;
         }
-        note("failed", "upstream=" + name + " type=" + failure.type().word() + " then=" + action);
+        note("failed", "upstream=" + name + " type=" + failure.type().label() + " then=" + action);
     }
 
     /**
@@ -139,7 +139,7 @@
         LogEvent.of("request-ended")
                 .with("request", call.id())
                 .with("customer", call.customer())
-                .with("class", call.route().requestClass().word())
+                .with("class", call.route().requestClass().label())
                 .with("upstream", upstream)
                 .with("placements", placements)
                 .with("outcome", outcome)
--- a/daemon/src/main/java/org/endivehold/daemon/upstream/EngineErrors.java
+++ b/daemon/src/main/java/org/endivehold/daemon/upstream/EngineErrors.java
@@ -41,7 +41,7 @@
             return new EndiveholdException(run, ErrorType.STREAM_UNKNOWN, stream.get());
         }
         return new EndiveholdException(
-                run, ErrorType.UPSTREAM_REFUSED, upstream, error.code().word() + ": " + error.message());
+                run, ErrorType.UPSTREAM_REFUSED, upstream, error.code().label() + ": " + error.message());
     }
 
     /**
--- a/relay/src/main/java/org/endivehold/relay/peer/FrameExtensions.java
+++ b/relay/src/main/java/org/endivehold/relay/peer/FrameExtensions.java
@@ -124,14 +124,14 @@
 
     private static byte[] encode(WaitReason reason) throws IOException {
         try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
-            packer.packString(reason.word());
+            packer.packString(reason.label());
             return packer.toByteArray();
         }
     }
 
     private static Optional<WaitReason> decodeReason(byte[] fields) throws IOException {
         try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(fields)) {
-            return WaitReason.ofWord(unpacker.unpackString());
+            return WaitReason.ofLabel(unpacker.unpackString());
         }
     }
 
--- a/relay/src/main/java/org/endivehold/relay/schedule/WaitReason.java
+++ b/relay/src/main/java/org/endivehold/relay/schedule/WaitReason.java
@@ -23,13 +23,15 @@
     /** Refused: it was asked whether engines suit it at once, and none did. */
     NOT_AT_ONCE;
 
-    /** Returns the word for it in logs, metrics and messages. */
-    public String word() {
+    /** Returns its label in logs, metrics and messages. */
+    public String label() {
         return name().toLowerCase(Locale.ROOT).replace('_', '-');
     }
 
-    /** Returns the reason with a word; empty if it is unknown, such as one of a later version. */
-    public static Optional<WaitReason> ofWord(String word) {
-        return Stream.of(values()).filter(reason -> reason.word().equals(word)).findFirst();
+    /** Returns the reason with a label; empty if it is unknown, such as one of a later version. */
+    public static Optional<WaitReason> ofLabel(String label) {
+        return Stream.of(values())
+                .filter(reason -> reason.label().equals(label))
+                .findFirst();
     }
 }
--- a/relay/src/main/java/org/endivehold/relay/serve/Exchange.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/Exchange.java
@@ -186,7 +186,7 @@
             return;
         }
         flushEvents();
-        finish(status, type.word());
+        finish(status, type.label());
         if (responseBegun) {
             channel.breakOff();
         } else {
--- a/relay/src/main/java/org/endivehold/relay/serve/ForwardedRequest.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/ForwardedRequest.java
@@ -352,11 +352,11 @@
     private void failed(PeerMessage.ForwardedFailure failure) {
         held.empty();
         leaveDaemon();
-        context.metrics().forwarded(failure.type().word());
+        context.metrics().forwarded(failure.type().label());
         boolean mayRunElsewhere = failure.status() == NOT_RUN_STATUS
                 && (failure.type() == ErrorType.UPSTREAM_UNREACHABLE || failure.type() == ErrorType.SHUTTING_DOWN);
         if (mayRunElsewhere) {
-            exchange.addStep("returned:" + failure.type().word());
+            exchange.addStep("returned:" + failure.type().label());
             offerToNext();
             return;
         }
--- a/relay/src/main/java/org/endivehold/relay/serve/HttpResponseChannel.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/HttpResponseChannel.java
@@ -68,7 +68,7 @@
         if (retryAfterMillis > 0) {
             response.putHeader("retry-after", String.format(Locale.ROOT, "%.2f", retryAfterMillis / MILLIS_PER_SECOND));
         }
-        response.end("{\"error\":\"" + type.word() + "\"}");
+        response.end("{\"error\":\"" + type.label() + "\"}");
     }
 
     @Override
--- a/relay/src/main/java/org/endivehold/relay/serve/StreamRequestHandler.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/StreamRequestHandler.java
@@ -165,7 +165,7 @@
             public void refused(double retryAfterMillis) {
                 pendingPlacement = Optional.empty();
                 wait.ended();
-                context.metrics().notPlaced(wait.word());
+                context.metrics().notPlaced(wait.label());
                 exchange.addStep("no-room");
                 giveUp(refusal, retryAfterMillis);
             }
--- a/relay/src/main/java/org/endivehold/relay/serve/WaitRecord.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/WaitRecord.java
@@ -12,7 +12,7 @@
 final class WaitRecord {
     /** Longest time after which a request counts as decided at once if no reason is known, in milliseconds. */
     private static final double MAX_ANSWER_MILLIS = 60;
-    /** Word for a reason that is not known. */
+    /** Label of a reason that is not known. */
     private static final String UNKNOWN = "unknown";
 
     private final RelayContext context;
@@ -32,16 +32,16 @@
         reason = Optional.of(why);
     }
 
-    /** Returns the word for the reason. */
-    String word() {
-        return reason.map(WaitReason::word).orElse(UNKNOWN);
+    /** Returns the label of the reason. */
+    String label() {
+        return reason.map(WaitReason::label).orElse(UNKNOWN);
     }
 
     /** Notes that the request was placed or refused. */
     void ended() {
         double millis = context.now() - startedAt;
         if (reason.isPresent() || millis > MAX_ANSWER_MILLIS) {
-            exchange.addStep("waited:" + Math.round(millis) + ":" + word());
+            exchange.addStep("waited:" + Math.round(millis) + ":" + label());
             context.metrics().waited(exchange.route().name(), exchange.customerName(), millis);
         }
     }
--- a/relay/src/test/java/org/endivehold/relay/schedule/LocalSchedulerTest.java
+++ b/relay/src/test/java/org/endivehold/relay/schedule/LocalSchedulerTest.java
@@ -59,7 +59,7 @@
 
         @Override
         public void explained(WaitReason why) {
-            reason = why.word();
+            reason = why.label();
         }
 
         @Override
