--- a/daemon/src/test/java/org/endivehold/daemon/entry/EndlessAnswersTest.java
+++ b/daemon/src/test/java/org/endivehold/daemon/entry/EndlessAnswersTest.java
@@ -63,10 +63,14 @@
     }
 
     private static String request(String path, int index) {
-        return "POST " + path + " HTTP/1.1\r\nHost: crowd\r\nX-Api-Key: key\r\n" + CrowdPlatform.ATTEMPT_HEADER
-                + ": endless-" + index + "\r\nX-Endivehold-Deadline-Remaining: 5000\r\n"
-                + "X-Endivehold-Model: m\r\nX-Endivehold-Token-Counts: 1000,100\r\n"
-                + "X-Endivehold-Prompt-Prefix: 5c1e07a2:1000\r\nContent-Length: 0\r\n\r\n";
+        List<String> lines = new ArrayList<>(List.of(
+                "POST " + path + " HTTP/1.1",
+                "Host: crowd",
+                "X-Api-Key: key",
+                CrowdPlatform.ATTEMPT_HEADER + ": endless-" + index,
+                "Content-Length: 0"));
+        lines.addAll(CrowdPlatform.PROMPT_HEADERS);
+        return String.join("\r\n", lines) + "\r\n\r\n";
     }
 
     @ParameterizedTest
@@ -74,7 +78,9 @@
     void bytesWithoutEndDoNotEndTheProcess(EndlessUpstream.Kind kind) throws Exception {
         List<String> faults = new ArrayList<>();
         for (String path : List.of("/faulty/", "/faulty-stream/")) {
+            int before = upstream.requests();
             long memory = send(path + kind);
+            check(faults, upstream.requests() > before, path + ": no request has reached the upstream");
             check(faults, daemon.isAlive(), path + ": the process has ended");
             check(faults, daemon.awaitAnswer(LIMIT_MILLIS), path + ": an ordinary request is not answered");
             check(faults, !daemon.hasRunOutOfMemory(), path + ": OutOfMemoryError");
--- a/daemon/src/test/java/org/endivehold/daemon/entry/EndlessUpstream.java
+++ b/daemon/src/test/java/org/endivehold/daemon/entry/EndlessUpstream.java
@@ -6,6 +6,8 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.endivehold.adapter.CrowdPlatform;
 
 /**
  * A faulty upstream on loopback: it answers each request with the beginning that the request's path names and then
@@ -36,7 +38,7 @@
 
         /** Adds what an answer to an attempt needs in its head. */
         private String beginningFor(String attempt) {
-            return beginning.replaceFirst("\r\n", "\r\n" + attempt + "\r\nX-Endivehold-Response-Seal: seal\r\n");
+            return beginning.replaceFirst("\r\n", "\r\n" + attempt + "\r\n" + CrowdPlatform.SEAL_HEADER + ": seal\r\n");
         }
     }
 
@@ -44,6 +46,7 @@
     private static final int REPETITIONS = 4_000;
 
     private final ServerSocket server;
+    private final AtomicInteger requests = new AtomicInteger();
 
     EndlessUpstream(String host) throws IOException {
         server = new ServerSocket(0, BACKLOG, InetAddress.getByName(host));
@@ -60,6 +63,11 @@
         return server.getLocalPort();
     }
 
+    /** Returns the number of requests that have arrived. */
+    int requests() {
+        return requests.get();
+    }
+
     private void accept() {
         while (true) {
             try {
@@ -71,11 +79,12 @@
         }
     }
 
-    private static void serve(Socket socket) {
+    private void serve(Socket socket) {
         try (socket) {
             String head = readHead(socket);
+            requests.incrementAndGet();
             Kind kind = Kind.valueOf(head.replaceAll("(?s)^\\S+ /[^/]+/(\\w+).*", "$1"));
-            String attempt = head.replaceAll("(?is).*\r\n(X-Endivehold-Attempt-Id: [^\r]*)\r\n.*", "$1");
+            String attempt = head.replaceAll("(?is).*\r\n(" + CrowdPlatform.ATTEMPT_HEADER + ": [^\r]*)\r\n.*", "$1");
             OutputStream out = socket.getOutputStream();
             out.write(kind.beginningFor(attempt).getBytes(StandardCharsets.US_ASCII));
             byte[] block = kind.repeated.repeat(REPETITIONS).getBytes(StandardCharsets.US_ASCII);
