--- a/relay/src/main/java/org/endivehold/relay/state/StoreEvents.java
+++ b/relay/src/main/java/org/endivehold/relay/state/StoreEvents.java
@@ -14,12 +14,9 @@
         this.prefix = prefix;
     }
 
-    private LogEvent event(String name) {
-        return LogEvent.of(name).with("prefix", prefix);
-    }
-
     void copyTaken(StorePosition had, StorePosition taken, String from) {
-        event("store-copy-taken")
+        LogEvent.of("store-copy-taken")
+                .with("prefix", prefix)
                 .with("from", from)
                 .with("era", taken.era())
                 .with("revision", taken.revision())
@@ -28,33 +25,40 @@
     }
 
     void confirmationExpired(StorePosition position, double unheardMillis) {
-        event("store-confirmation-expired")
+        LogEvent.of("store-confirmation-expired")
+                .with("prefix", prefix)
                 .with("revision", position.revision())
                 .with("unheard_ms", Math.round(unheardMillis))
                 .info(log);
     }
 
     void answerNotHandled(StorePosition position, Throwable cause) {
-        event("store-answer-not-handled")
+        LogEvent.of("store-answer-not-handled")
+                .with("prefix", prefix)
                 .with("revision", position.revision())
                 .with("reason", cause)
                 .warn(log);
     }
 
     void regained(String from, double silentMillis) {
-        event("store-regained")
+        LogEvent.of("store-regained")
+                .with("prefix", prefix)
                 .with("from", from)
                 .with("silent_ms", silentMillis)
                 .info(log);
     }
 
     void historyGone(StorePosition position) {
-        event("store-history-gone").with("revision", position.revision()).info(log);
+        LogEvent.of("store-history-gone")
+                .with("prefix", prefix)
+                .with("revision", position.revision())
+                .info(log);
     }
 
     /** The time since the copy was confirmed may be infinite. */
     void lost(StorePosition position, double unheardMillis, Throwable cause) {
-        event("store-lost")
+        LogEvent.of("store-lost")
+                .with("prefix", prefix)
                 .with("revision", position.revision())
                 .with("unheard_ms", Math.round(Math.min(unheardMillis, Integer.MAX_VALUE)))
                 .with("reason", cause)
@@ -62,7 +66,8 @@
     }
 
     void restored(StorePosition had, StorePosition to) {
-        event("store-restored")
+        LogEvent.of("store-restored")
+                .with("prefix", prefix)
                 .with("era", to.era())
                 .with("revision", to.revision())
                 .with("had_era", had.era())
