Review case 6: a crowd that sends requests ahead stops a daemon for good

Cause: ConnectionGuard keeps up to 64 KB a connection of what arrives while a request is served, and nothing counts it. Nothing of the product is changed.

--- a/review/src-2/Daemons.java
+++ b/review/src-2/Daemons.java
@@ -10,12 +10,16 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
 /** The daemons of a case: processes that run the command of the deploy file, each on a loopback address of its own. */
 final class Daemons {
+    private static final long RESTART_DELAY_MILLIS = 1_000;
+
     private final Path folder;
+    private volatile boolean stopped;
     private final List<Daemon> all = new ArrayList<>();
 
     /** One daemon; it may be started again with the same settings. */
@@ -63,6 +67,30 @@
         }
     }
 
+    /** Starts daemons again that have ended, as the platform does, after a short delay; tells of each. */
+    void restartThoseThatEnd(Consumer<String> ended) {
+        Http.daemonThread(
+                () -> {
+                    while (!stopped) {
+                        Waiting.sleep(200);
+                        all.stream()
+                                .filter(daemon -> !stopped && !daemon.process.isAlive())
+                                .forEach(daemon -> restart(daemon, ended));
+                    }
+                },
+                "restarts");
+    }
+
+    private void restart(Daemon daemon, Consumer<String> ended) {
+        ended.accept(daemon.name + " has ended by itself with status " + daemon.process.exitValue());
+        Waiting.sleep(RESTART_DELAY_MILLIS);
+        try {
+            daemon.start();
+        } catch (IOException e) {
+            ended.accept(daemon.name + " cannot be started again: " + e.getMessage());
+        }
+    }
+
     /** Creates the settings of some daemons; the store has an address for each. */
     Daemons(Store store, int count) throws IOException {
         folder = Files.createTempDirectory("review");
@@ -98,6 +126,7 @@
     }
 
     void end() {
+        stopped = true;
         for (Daemon daemon : all) {
             if (daemon.process != null) {
                 daemon.process.destroyForcibly();
--- a/review/src-2/Engine.java
+++ b/review/src-2/Engine.java
@@ -21,6 +21,7 @@
     private final long eventMillis;
     private final int events;
     volatile boolean leaving;
+    private String padding = "";
     private volatile boolean ended;
 
     Engine(String id, String host, long firstEventMillis, long eventMillis, int events, Observer observer)
@@ -37,6 +38,11 @@
         return Site.entry("huvo11a", server.address(), "ready", 1, bornMillis);
     }
 
+    /** Makes each event at least so long. */
+    void padTo(int bytes) {
+        padding = "x".repeat(bytes);
+    }
+
     /** Exits: what runs is cut off. */
     void exit() {
         ended = true;
@@ -67,11 +73,13 @@
                 + (leaving ? "Server-Leaving: 1\r\n" : "")
                 + "\r\n";
         out.write(head.getBytes(StandardCharsets.US_ASCII));
-        for (int i = 1; i <= events; i++) {
+        String after = request.header("Last-Event-Id");
+        for (int i = after == null ? 1 : Integer.parseInt(after) + 1; i <= events; i++) {
             if (ended) {
                 return false;
             }
-            String event = "id: " + i + "\ndata: piece " + i + " of " + request.header("X-Endivehold-Attempt-Id") + "\n\n";
+            String event = "id: " + i + "\ndata: piece " + i + " of " + request.header("X-Endivehold-Attempt-Id") + padding
+                    + "\n\n";
             out.write((Integer.toHexString(event.length()) + "\r\n" + event + "\r\n").getBytes(StandardCharsets.US_ASCII));
             out.flush();
             Waiting.sleep(eventMillis);
