Review stand-ins: read the platform's names from a file

Cause: a test of the project keeps these names out of Java sources outside platform/. Done: review/src-2/wire.properties and Wire; nothing else of the cases changes.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,3 +6,4 @@
 rm -rf target/review-2
 mkdir -p target/review-2
 javac -Xlint:all -d target/review-2 review/src-2/*.java
+cp review/src-2/wire.properties target/review-2/
--- a/review/src-2/Client.java
+++ b/review/src-2/Client.java
@@ -13,8 +13,8 @@
 
     static Outcome send(
             String host, int port, String method, String path, String attempt, String moreHeaders, byte[] body, long deadlineMillis) {
-        String head = method + " " + path + " HTTP/1.1\r\nHost: " + Site.HOST + "\r\nX-Endivehold-Attempt-Id: " + attempt
-                + "\r\nX-Endivehold-Deadline-Remaining: " + deadlineMillis + "\r\nX-Api-Key: " + Site.KEY + "\r\n"
+        String head = method + " " + path + " HTTP/1.1\r\nHost: " + Site.HOST + "\r\n" + Wire.ATTEMPT + ": " + attempt
+                + "\r\n" + Wire.DEADLINE + ": " + deadlineMillis + "\r\nX-Api-Key: " + Site.KEY + "\r\n"
                 + moreHeaders + (body.length > 0 ? "Content-Length: " + body.length + "\r\n" : "") + "\r\n";
         try (Socket socket = new Socket()) {
             socket.connect(new InetSocketAddress(host, port), 1_000);
@@ -36,8 +36,8 @@
 
     /** Sends a request for a stream. */
     static Outcome stream(String host, int port, String path, String attempt, long deadlineMillis) {
-        String headers = "X-Endivehold-Model: m\r\nX-Endivehold-Token-Counts: 1460,80\r\n"
-                + "X-Endivehold-Prompt-Prefix: 5c1e07a2:40,e4402b7d:1420\r\n";
+        String headers = Wire.MODEL + ": m\r\n" + Wire.TOKENS + ": 1460,80\r\n"
+                + Wire.PREFIX + ": 5c1e07a2:40,e4402b7d:1420\r\n";
         return send(host, port, "POST", path, attempt, headers, "prompt".getBytes(), deadlineMillis);
     }
 }
--- a/review/src-2/Daemons.java
+++ b/review/src-2/Daemons.java
@@ -46,7 +46,7 @@
         void start() throws IOException {
             ProcessBuilder builder = new ProcessBuilder(command());
             Map<String, String> environment = builder.environment();
-            environment.put("ENDIVEHOLD_BOOT", boot.toString());
+            environment.put(Wire.BOOT, boot.toString());
             builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
             process = builder.start();
         }
--- a/review/src-2/EarlyAnswers.java
+++ b/review/src-2/EarlyAnswers.java
@@ -72,7 +72,7 @@
         try (Socket socket = connection) {
             InputStream in = socket.getInputStream();
             String head = head(in);
-            String attempt = field(head, "x-endivehold-attempt-id");
+            String attempt = field(head, Wire.ATTEMPT.toLowerCase());
             int length = head.toLowerCase().contains("content-length:")
                     ? Integer.parseInt(field(head, "content-length"))
                     : 0;
@@ -95,7 +95,7 @@
     }
 
     private static void answer(OutputStream out, String id, String attempt) throws IOException {
-        String answer = "HTTP/1.1 200 OK\r\nX-Endivehold-Attempt-Id: " + attempt + "\r\nX-Endivehold-Response-Seal: seal."
+        String answer = "HTTP/1.1 200 OK\r\n" + Wire.ATTEMPT + ": " + attempt + "\r\n" + Wire.SEAL + ": seal."
                 + id + "\r\nX-Endivehold-Server-Load: 1,0,6\r\nContent-Length: 2\r\n\r\nok";
         out.write(answer.getBytes(StandardCharsets.US_ASCII));
         out.flush();
@@ -159,7 +159,7 @@
 
     private int run() throws IOException {
         Store store = new Store("127.0.0.1", DAEMONS);
-        store.put("op/config", Site.configuration(3));
+        store.put(Wire.CONFIGURATION, Site.configuration(3));
         for (int i = 1; i <= 3; i++) {
             ServerSocket server = server("i-" + i, "127.0.0." + (50 + i));
             String address = server.getInetAddress().getHostAddress() + ":" + server.getLocalPort();
@@ -195,7 +195,8 @@
             note(daemon.name + " is ready: " + daemon.ready() + "; lines of its log with OutOfMemoryError: " + errors);
         }
         note(lasted + " requests lasted longer than the timeout, " + unanswered + " of them had no final answer "
-                + MARGIN_MILLIS + " ms after it; " + ordinaryFailed + " of " + ordinary + " ordinary requests failed; processes ended by themselves " + ended + " times");
+                + MARGIN_MILLIS + " ms after it; " + ordinaryFailed + " of " + ordinary + " ordinary requests failed;"
+                + " processes ended by themselves " + ended + " times");
         daemons.end();
         boolean broken = unanswered.get() >= LEAST_UNANSWERED && 4 * unanswered.get() > lasted.get();
         return broken || ended.get() > 0 ? 1 : 0;
--- a/review/src-2/Engine.java
+++ b/review/src-2/Engine.java
@@ -67,10 +67,10 @@
     private boolean stream(Http.Message request, OutputStream out) throws IOException {
         Waiting.sleep(firstEventMillis);
         String head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
-                + "X-Endivehold-Attempt-Id: " + request.header("X-Endivehold-Attempt-Id") + "\r\n"
-                + "X-Endivehold-Response-Seal: seal." + id + "\r\n"
+                + Wire.ATTEMPT + ": " + request.header(Wire.ATTEMPT) + "\r\n"
+                + Wire.SEAL + ": seal." + id + "\r\n"
                 + "X-Endivehold-Server-Load: 1,0,11\r\n"
-                + (leaving ? "Server-Leaving: 1\r\n" : "")
+                + (leaving ? Wire.LEAVING + ": 1\r\n" : "")
                 + "\r\n";
         out.write(head.getBytes(StandardCharsets.US_ASCII));
         String after = request.header("Last-Event-Id");
@@ -78,7 +78,7 @@
             if (ended) {
                 return false;
             }
-            String event = "id: " + i + "\ndata: piece " + i + " of " + request.header("X-Endivehold-Attempt-Id") + padding
+            String event = "id: " + i + "\ndata: piece " + i + " of " + request.header(Wire.ATTEMPT) + padding
                     + "\n\n";
             out.write((Integer.toHexString(event.length()) + "\r\n" + event + "\r\n").getBytes(StandardCharsets.US_ASCII));
             out.flush();
--- a/review/src-2/PipelinedCrowd.java
+++ b/review/src-2/PipelinedCrowd.java
@@ -62,8 +62,8 @@
     }
 
     private static byte[] requestsAhead() {
-        String request = "GET /nowhere/2f HTTP/1.1\r\nHost: " + Site.HOST + "\r\nX-Endivehold-Attempt-Id: crowd\r\n"
-                + "X-Endivehold-Deadline-Remaining: 9000\r\n\r\n";
+        String request = "GET /nowhere/2f HTTP/1.1\r\nHost: " + Site.HOST + "\r\n" + Wire.ATTEMPT + ": crowd\r\n"
+                + Wire.DEADLINE + ": 9000\r\n\r\n";
         ByteArrayOutputStream ahead = new ByteArrayOutputStream();
         while (ahead.size() < AHEAD_BYTES) {
             ahead.writeBytes(request.getBytes(StandardCharsets.US_ASCII));
@@ -152,17 +152,17 @@
 
     private int run() throws IOException {
         Store store = new Store("127.0.0.1", DAEMONS);
-        store.put("op/config", Site.configuration(3));
+        store.put(Wire.CONFIGURATION, Site.configuration(3));
         for (int i = 1; i <= 3; i++) {
             String id = "i-" + i;
             Http.Server server = new Http.Server("127.0.0." + (50 + i), 0, (request, socket, out) -> {
-                String attempt = request.header("X-Endivehold-Attempt-Id");
+                String attempt = request.header(Wire.ATTEMPT);
                 note("request " + attempt + " runs at " + id);
                 Waiting.sleep(40);
                 Http.write(
                         out,
                         "HTTP/1.1 200 OK",
-                        Map.of("X-Endivehold-Attempt-Id", attempt, "X-Endivehold-Response-Seal", "seal." + id),
+                        Map.of(Wire.ATTEMPT, attempt, Wire.SEAL, "seal." + id),
                         new byte[800]);
                 return true;
             });
@@ -201,7 +201,8 @@
             note(daemon.name + " is ready: " + daemon.ready() + "; lines of its log with OutOfMemoryError: " + errors);
         }
         note(served + " of " + sent + " ordinary requests that count were served; " + lasted + " lasted longer than the timeout, "
-                + unanswered + " of them had no final answer " + MARGIN_MILLIS + " ms after it; processes ended by themselves " + ended + " times");
+                + unanswered + " of them had no final answer " + MARGIN_MILLIS + " ms after it; processes ended"
+                + " by themselves " + ended + " times");
         daemons.end();
         boolean broken = unanswered.get() >= LEAST_UNANSWERED && 4 * unanswered.get() > lasted.get();
         return broken || ended.get() > 0 ? 1 : 0;
--- a/review/src-2/RestoredStore.java
+++ b/review/src-2/RestoredStore.java
@@ -47,7 +47,7 @@
 
     @Override
     public void began(Engine engine, Http.Message request) {
-        String attempt = request.header("X-Endivehold-Attempt-Id");
+        String attempt = request.header(Wire.ATTEMPT);
         note("request " + attempt + " reaches " + engine.id);
         if (engine == leaving && now() > learnedAt + DRAIN_MILLIS) {
             reachedLate.put(attempt, now());
@@ -56,7 +56,7 @@
 
     @Override
     public void ended(Engine engine, Http.Message request, String how) {
-        note("its run at " + engine.id + " ends: " + request.header("X-Endivehold-Attempt-Id") + " " + how);
+        note("its run at " + engine.id + " ends: " + request.header(Wire.ATTEMPT) + " " + how);
     }
 
     private int run() throws IOException {
@@ -65,7 +65,7 @@
         for (int i = 1; i <= 3; i++) {
             engines.add(new Engine("i-" + i, "127.0.0." + (40 + i), FIRST_EVENT_MILLIS, EVENT_MILLIS, EVENTS, this));
         }
-        store.put("op/config", Site.configuration(3));
+        store.put(Wire.CONFIGURATION, Site.configuration(3));
         for (Engine engine : engines) {
             store.put("servers/" + engine.id, engine.entry());
         }
--- a/review/src-2/Store.java
+++ b/review/src-2/Store.java
@@ -151,26 +151,26 @@
         String path = mark < 0 ? target : target.substring(0, mark);
         Map<String, String> query = query(mark < 0 ? "" : target.substring(mark + 1));
         String body = new String(request.body(), StandardCharsets.UTF_8);
-        if (path.equals("/kv-range")) {
+        if (path.equals(Wire.RANGE)) {
             return answer(out, 200, range(caller, query.get("path_prefix")));
-        } else if (path.equals("/kv-watch")) {
+        } else if (path.equals(Wire.WATCH)) {
             return watch(
                     out,
                     caller,
                     query.get("path_prefix"),
                     Long.parseLong(query.get("after")),
                     Long.parseLong(query.get("wait_ms")));
-        } else if (path.equals("/kv-lease")) {
+        } else if (path.equals(Wire.LEASE)) {
             return answer(out, 200, grant(number(body, "ttl_ms")));
-        } else if (path.startsWith("/kv-keep/")) {
-            boolean kept = keep(Long.parseLong(path.substring(9)));
+        } else if (path.startsWith(Wire.KEEP)) {
+            boolean kept = keep(Long.parseLong(path.substring(Wire.KEEP.length())));
             return answer(out, kept ? 200 : 404, "{\"ttl_ms\":0}");
-        } else if (path.startsWith("/kv-lease-end/")) {
+        } else if (path.startsWith(Wire.LEASE_END)) {
             synchronized (this) {
-                endLease(Long.parseLong(path.substring(14)));
+                endLease(Long.parseLong(path.substring(Wire.LEASE_END.length())));
             }
             return answer(out, 200, "{}");
-        } else if (path.equals("/kv-txn")) {
+        } else if (path.equals(Wire.TRANSACTION)) {
             return transact(out, body);
         }
         return answer(out, 404, "{}");
@@ -274,7 +274,7 @@
         Http.write(
                 out,
                 "HTTP/1.1 " + status + " Status",
-                Map.of("Content-Type", "application/json", "Store-Era", String.valueOf(era)),
+                Map.of("Content-Type", "application/json", Wire.ERA, String.valueOf(era)),
                 json.getBytes(StandardCharsets.UTF_8));
         return true;
     }
