--- a/core/src/main/java/org/endivehold/error/ErrorType.java
+++ b/core/src/main/java/org/endivehold/error/ErrorType.java
@@ -45,6 +45,7 @@
     UPSTREAM_TIMEOUT(304, Severity.WARNING, "upstream %s did not answer within %s milliseconds"),
     STREAM_UNKNOWN(305, Severity.INFO, "no stream is named %s"),
     ORDER_FENCED(306, Severity.WARNING, "upstream %s refused an order with old epoch %s"),
+    INVALID_ANSWER(307, Severity.WARNING, "the answer has an invalid %s: %s"),
 
     // Platform, from 400.
     STORE_UNAVAILABLE(400, Severity.WARNING, "the key-value service refused the call or did not answer: %s"),
--- a/daemon/src/test/java/org/endivehold/daemon/EventReferenceTest.java
+++ b/daemon/src/test/java/org/endivehold/daemon/EventReferenceTest.java
@@ -21,6 +21,7 @@
     private static final List<Path> SOURCES = List.of(
             Path.of("src", "main", "java"),
             Path.of("..", "core", "src", "main", "java"),
+            Path.of("..", "http", "src", "main", "java"),
             Path.of("..", "wire", "src", "main", "java"),
             Path.of("..", "relay", "src", "main", "java"),
             Path.of("..", "platform", "src", "main", "java"));
--- /dev/null
+++ b/http/src/main/java/org/endivehold/http/HeadReader.java
@@ -0,0 +1,96 @@
+package org.endivehold.http;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+
+/**
+ * Reads the head of one answer byte by byte and checks it as it arrives.
+ *
+ * <p>The check is stricter than what HTTP lets a recipient accept: the HTTP library behind it skips bytes before the
+ * status line, and takes any number for a status.
+ */
+final class HeadReader {
+    /** Largest head, in bytes; the same as for requests of callers. */
+    static final int MAX_HEAD_BYTES = 16_384;
+
+    private static final int INITIAL_BYTES = 512;
+    private static final String VERSION_START = "HTTP/1.";
+    /** Length of {@code "HTTP/1.1 200 "}. */
+    private static final int STATUS_LINE_START_CHARS = 13;
+
+    private static final int SWITCHING_PROTOCOLS = 101;
+
+    private byte[] bytes = new byte[INITIAL_BYTES];
+    private int length;
+    private int lineStart;
+    private int status;
+
+    /**
+     * Takes the next byte.
+     *
+     * @return whether the head ends with it
+     * @throws InvalidAnswerException if the bytes so far do not begin a valid head
+     */
+    boolean add(byte next) throws InvalidAnswerException {
+        if (length == MAX_HEAD_BYTES) {
+            throw new InvalidAnswerException(HeadPart.SIZE, text(lineStart, length));
+        }
+        if (length == bytes.length) {
+            bytes = Arrays.copyOf(bytes, 2 * length);
+        }
+        bytes[length] = next;
+        length++;
+        return next == '\n' && endLine();
+    }
+
+    /** Returns the head as it was received. */
+    byte[] toBytes() {
+        return Arrays.copyOf(bytes, length);
+    }
+
+    /** Returns whether a final answer has still to follow this one; only if the head is complete. */
+    boolean isInterim() {
+        return status < HeadRules.FIRST_FINAL_STATUS;
+    }
+
+    private boolean endLine() throws InvalidAnswerException {
+        boolean terminated = length - lineStart >= 2 && bytes[length - 2] == '\r';
+        // A line feed without a carriage return stays in the line, where it is a control byte like others.
+        String line = text(lineStart, terminated ? length - 2 : length);
+        boolean first = lineStart == 0;
+        lineStart = length;
+        if (first) {
+            readStatusLine(line);
+        }
+        return !first && line.isEmpty();
+    }
+
+    private String text(int from, int to) {
+        return new String(bytes, from, to - from, StandardCharsets.ISO_8859_1);
+    }
+
+    private void readStatusLine(String line) throws InvalidAnswerException {
+        boolean valid = line.length() >= STATUS_LINE_START_CHARS
+                && line.startsWith(VERSION_START)
+                && isDigit(line.charAt(7))
+                && line.charAt(8) == ' '
+                && isDigit(line.charAt(9))
+                && isDigit(line.charAt(10))
+                && isDigit(line.charAt(11))
+                && line.charAt(12) == ' '
+                && !HeadRules.hasControl(line);
+        if (!valid) {
+            throw new InvalidAnswerException(HeadPart.STATUS_LINE, line);
+        }
+        status = Integer.parseInt(line.substring(9, 12));
+        HeadRules.checkStatus(status);
+        if (status == SWITCHING_PROTOCOLS) {
+            // No request asks for another protocol.
+            throw new InvalidAnswerException(HeadPart.STATUS, line);
+        }
+    }
+
+    private static boolean isDigit(char c) {
+        return c >= '0' && c <= '9';
+    }
+}
--- a/relay/src/main/java/org/endivehold/relay/serve/RelayMetrics.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/RelayMetrics.java
@@ -5,6 +5,7 @@
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Timer;
 import java.time.Duration;
+import org.endivehold.http.HeadPart;
 import org.endivehold.relay.limit.HeldBytes;
 
 /** Counters and histograms of the serving path. */
@@ -59,6 +60,12 @@
                 registry.counter("endivehold.repeats", "cause", cause).increment());
     }
 
+    /** Counts an answer that was invalid, by the part that made it so. */
+    void invalidAnswer(HeadPart part) {
+        meters.record(registry -> registry.counter("endivehold.invalid.answers", "part", part.label())
+                .increment());
+    }
+
     /** Counts an offer of a request to another daemon, or a request that was sent by way of one, by its result. */
     void forwarded(String result) {
         meters.record(registry ->
--- a/relay/src/main/java/org/endivehold/relay/serve/UpstreamAttempt.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/UpstreamAttempt.java
@@ -6,6 +6,7 @@
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import java.util.function.Consumer;
+import org.endivehold.http.InvalidAnswerException;
 
 /**
  * One attempt of a request at one upstream, on a connection of its own.
@@ -38,17 +39,32 @@
     private final Vertx vertx;
     private final Dialect headerCodec;
     private final Consumer<AnswerFacts> headObserver;
+    private final Consumer<InvalidAnswerException> invalidObserver;
     private final Listener listener;
     private HttpClientRequest request;
     private HttpClientResponse response;
     private int pauses;
     private boolean ended;
 
-    /** Creates an attempt; {@code headObserver} sees the head of the response before the listener does. */
-    UpstreamAttempt(Vertx vertx, Dialect headerCodec, Consumer<AnswerFacts> headObserver, Listener listener) {
+    /**
+     * Creates an attempt.
+     *
+     * @param vertx runs the attempt
+     * @param headerCodec parses the head of the response
+     * @param headObserver sees the head before the listener does
+     * @param invalidObserver is told if the attempt breaks off because the head is invalid
+     * @param listener is notified of the progress
+     */
+    UpstreamAttempt(
+            Vertx vertx,
+            Dialect headerCodec,
+            Consumer<AnswerFacts> headObserver,
+            Consumer<InvalidAnswerException> invalidObserver,
+            Listener listener) {
         this.vertx = vertx;
         this.headerCodec = headerCodec;
         this.headObserver = headObserver;
+        this.invalidObserver = invalidObserver;
         this.listener = listener;
     }
 
@@ -145,6 +161,7 @@
         }
         ended = true;
         close();
+        InvalidAnswerException.find(cause).ifPresent(invalidObserver);
         listener.broken(cause);
     }
 
--- a/relay/src/main/java/org/endivehold/relay/serve/UpstreamClient.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/UpstreamClient.java
@@ -9,9 +9,12 @@
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.net.SocketAddress;
+import org.endivehold.http.HttpClients;
+import org.endivehold.http.InvalidAnswerException;
 import org.endivehold.misc.Ticker;
 import org.endivehold.relay.path.PathMonitor;
 import org.endivehold.relay.state.Upstream;
+import org.jboss.logging.Logger;
 
 /**
  * HTTP client for requests to upstreams.
@@ -30,12 +33,15 @@
     /** Most open connections to one upstream: more than its slots can use, so that no request waits for one. */
     private static final int MAX_CONNECTIONS = 2_000;
 
+    private static final Logger log = Logger.getLogger(UpstreamClient.class);
+
     private final Vertx vertx;
     private final HttpClient client;
     private final Dialect headerCodec;
     private final Ticker ticker;
     private final UpstreamTrafficListener trafficListener;
     private final PathMonitor paths;
+    private final RelayMetrics metrics;
 
     UpstreamClient(RelayContext context) {
         this.vertx = context.vertx();
@@ -43,14 +49,15 @@
         this.headerCodec = context.headerCodec();
         this.trafficListener = context.trafficListener();
         this.paths = context.paths();
-        client = context.vertx()
-                .createHttpClient(
-                        new HttpClientOptions()
-                                .setKeepAlive(false)
-                                .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
-                                .setTcpNoDelay(true)
-                                .setDecompressionSupported(false),
-                        new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS));
+        this.metrics = context.metrics();
+        client = HttpClients.create(
+                context.vertx(),
+                new HttpClientOptions()
+                        .setKeepAlive(false)
+                        .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
+                        .setTcpNoDelay(true)
+                        .setDecompressionSupported(false),
+                new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS));
     }
 
     /** The caller's request without hop-by-hop headers, as it is sent in every attempt. */
@@ -73,7 +80,11 @@
                 .setHeaders(headers);
         double sentAt = (double) ticker.millis();
         UpstreamAttempt attempt = new UpstreamAttempt(
-                vertx, headerCodec, head -> trafficListener.answered(upstream, head, sentAt), listener);
+                vertx,
+                headerCodec,
+                head -> trafficListener.answered(upstream, head, sentAt),
+                invalid -> reportInvalid(invalid, outgoing, upstream),
+                listener);
         client.request(options)
                 .onSuccess(opened -> {
                     paths.recordReached(upstream);
@@ -85,4 +96,10 @@
                 });
         return attempt;
     }
+
+    private void reportInvalid(InvalidAnswerException invalid, OutgoingRequest outgoing, Upstream upstream) {
+        String request = headerCodec.parseRequest(outgoing.headers()).attemptId();
+        invalid.event(request, upstream.id()).warn(log);
+        metrics.invalidAnswer(invalid.part());
+    }
 }
--- a/relay/src/test/java/org/endivehold/relay/serve/RelayFixture.java
+++ b/relay/src/test/java/org/endivehold/relay/serve/RelayFixture.java
@@ -199,6 +199,12 @@
         engines.forEach(upstream -> upstream.onRequest(replaceReplies));
     }
 
+    /** Once any upstream has received a request, replaces the pending replies of all upstreams by this one. */
+    void replyToLaterRequests(String bytes) {
+        Runnable replaceReplies = () -> allUpstreams().forEach(upstream -> upstream.replaceReplies(bytes));
+        allUpstreams().forEach(upstream -> upstream.onRequest(replaceReplies));
+    }
+
     List<ScriptedUpstream> allUpstreams() {
         List<ScriptedUpstream> all = new ArrayList<>(plainUpstreams);
         all.addAll(engines);
@@ -216,6 +222,13 @@
         }
     }
 
+    /** Returns the number of answers that were counted as invalid. */
+    int invalidAnswers() {
+        return registry.find("endivehold.invalid.answers").counters().stream()
+                .mapToInt(counter -> (int) counter.count())
+                .sum();
+    }
+
     int arrivals() {
         int sum = 0;
         for (ScriptedUpstream upstream : plainUpstreams) {
