--- a/http/src/main/java/org/endivehold/http/HeadReader.java
+++ b/http/src/main/java/org/endivehold/http/HeadReader.java
@@ -6,8 +6,10 @@
 /**
  * Reads the head of one answer byte by byte and checks it as it arrives.
  *
- * <p>The check is stricter than what HTTP lets a recipient accept: the HTTP library behind it skips bytes before the
- * status line, and takes any number for a status.
+ * <p>The check is stricter than what HTTP lets a recipient accept: the HTTP library behind it also takes lines that end
+ * with a line feed alone, skips bytes before the status line, and cuts blanks off a field's name. What it takes for the
+ * head is then another one than the upstream sent. For example, in {@code "X-A: 1\r\n\nContent-Length: 5\r\n"} it finds
+ * the end of the head before the length, and the length becomes the first bytes of the body.
  */
 final class HeadReader {
     /** Largest head, in bytes; the same as for requests of callers. */
@@ -17,13 +19,20 @@
     private static final String VERSION_START = "HTTP/1.";
     /** Length of {@code "HTTP/1.1 200 "}. */
     private static final int STATUS_LINE_START_CHARS = 13;
+    /** Digits of the longest body length that a {@code long} holds in any case. */
+    private static final int MAX_LENGTH_DIGITS = 18;
 
+    private static final int NO_CONTENT = 204;
     private static final int SWITCHING_PROTOCOLS = 101;
+    private static final long NO_LENGTH = -1;
 
     private byte[] bytes = new byte[INITIAL_BYTES];
     private int length;
     private int lineStart;
     private int status;
+    private char minorVersion;
+    private long contentLength = NO_LENGTH;
+    private boolean chunked;
 
     /**
      * Takes the next byte.
@@ -61,8 +70,13 @@
         lineStart = length;
         if (first) {
             readStatusLine(line);
+        } else if (line.isEmpty()) {
+            checkBodyLength();
+            return true;
+        } else {
+            readField(line);
         }
-        return !first && line.isEmpty();
+        return false;
     }
 
     private String text(int from, int to) {
@@ -82,6 +96,7 @@
         if (!valid) {
             throw new InvalidAnswerException(HeadPart.STATUS_LINE, line);
         }
+        minorVersion = line.charAt(7);
         status = Integer.parseInt(line.substring(9, 12));
         HeadRules.checkStatus(status);
         if (status == SWITCHING_PROTOCOLS) {
@@ -90,6 +105,51 @@
         }
     }
 
+    private void readField(String line) throws InvalidAnswerException {
+        int colon = line.indexOf(':');
+        if (colon < 0) {
+            throw new InvalidAnswerException(HeadPart.FIELD_NAME, line);
+        }
+        String name = line.substring(0, colon);
+        String value = line.substring(colon + 1);
+        HeadRules.checkName(name);
+        HeadRules.checkValue(value);
+        if (name.equalsIgnoreCase("content-length")) {
+            readContentLength(value.strip());
+        } else if (name.equalsIgnoreCase("transfer-encoding")) {
+            readTransferEncoding(value.strip());
+        }
+    }
+
+    private void readContentLength(String value) throws InvalidAnswerException {
+        boolean valid = contentLength == NO_LENGTH && !value.isEmpty() && value.length() <= MAX_LENGTH_DIGITS;
+        for (int i = 0; valid && i < value.length(); i++) {
+            valid = isDigit(value.charAt(i));
+        }
+        if (!valid) {
+            throw new InvalidAnswerException(HeadPart.BODY_LENGTH, value);
+        }
+        contentLength = Long.parseLong(value);
+    }
+
+    /** Reads the coding of the body: no request allows another one than chunks. */
+    private void readTransferEncoding(String value) throws InvalidAnswerException {
+        if (chunked || !value.equalsIgnoreCase("chunked")) {
+            throw new InvalidAnswerException(HeadPart.BODY_LENGTH, value);
+        }
+        chunked = true;
+    }
+
+    private void checkBodyLength() throws InvalidAnswerException {
+        boolean ambiguous = chunked && (contentLength != NO_LENGTH || minorVersion == '0');
+        boolean bodyless = isInterim() || status == NO_CONTENT;
+        if (ambiguous || (bodyless && (chunked || contentLength > 0))) {
+            throw new InvalidAnswerException(
+                    HeadPart.BODY_LENGTH,
+                    "status " + status + ", content-length " + contentLength + ", chunked " + chunked);
+        }
+    }
+
     private static boolean isDigit(char c) {
         return c >= '0' && c <= '9';
     }
--- a/http/src/main/java/org/endivehold/http/HeadRules.java
+++ b/http/src/main/java/org/endivehold/http/HeadRules.java
@@ -1,7 +1,9 @@
 package org.endivehold.http;
 
-/** What makes the status of an answer valid, by RFC 9110 and RFC 9112. */
-final class HeadRules {
+import java.util.Map;
+
+/** What makes the status and the fields of an answer valid, by RFC 9110 and RFC 9112. */
+public final class HeadRules {
     /** Lowest status of a final answer; those below are interim answers, which another answer follows. */
     static final int FIRST_FINAL_STATUS = 200;
 
@@ -9,9 +11,31 @@
     private static final int LAST_STATUS = 599;
     private static final int FIRST_PRINTABLE = ' ';
     private static final int DELETE = 0x7f;
+    /** Characters of a token besides letters and digits. */
+    private static final String TOKEN_MARKS = "!#$%&'*+-.^_`|~";
 
     private HeadRules() {}
 
+    /**
+     * Checks the status and fields of a final answer that was not read from an HTTP connection of this process, such as
+     * one that another daemon passes on, or that is about to be written to a caller.
+     *
+     * @param status HTTP status
+     * @param fields names and values of the fields
+     * @throws InvalidAnswerException if HTTP has no such answer
+     */
+    public static void checkFinal(int status, Iterable<Map.Entry<String, String>> fields)
+            throws InvalidAnswerException {
+        if (status < FIRST_FINAL_STATUS) {
+            throw new InvalidAnswerException(HeadPart.STATUS, Integer.toString(status));
+        }
+        checkStatus(status);
+        for (Map.Entry<String, String> field : fields) {
+            checkName(field.getKey());
+            checkValue(field.getValue());
+        }
+    }
+
     /** Checks that HTTP gives a meaning to a status. */
     static void checkStatus(int status) throws InvalidAnswerException {
         if (status < FIRST_STATUS || status > LAST_STATUS) {
@@ -19,6 +43,24 @@
         }
     }
 
+    /** Checks that the name of a field is a token. */
+    static void checkName(String name) throws InvalidAnswerException {
+        boolean valid = !name.isEmpty();
+        for (int i = 0; valid && i < name.length(); i++) {
+            valid = isTokenChar(name.charAt(i));
+        }
+        if (!valid) {
+            throw new InvalidAnswerException(HeadPart.FIELD_NAME, name);
+        }
+    }
+
+    /** Checks that the value of a field has no control characters but tabs. */
+    static void checkValue(String value) throws InvalidAnswerException {
+        if (hasControl(value)) {
+            throw new InvalidAnswerException(HeadPart.FIELD_VALUE, value);
+        }
+    }
+
     /** Returns whether a text has control characters other than tabs. */
     static boolean hasControl(String text) {
         for (int i = 0; i < text.length(); i++) {
@@ -29,4 +71,11 @@
         }
         return false;
     }
+
+    private static boolean isTokenChar(char c) {
+        return (c >= 'a' && c <= 'z')
+                || (c >= 'A' && c <= 'Z')
+                || (c >= '0' && c <= '9')
+                || TOKEN_MARKS.indexOf(c) >= 0;
+    }
 }
--- a/http/src/test/java/org/endivehold/http/HeadReaderTest.java
+++ b/http/src/test/java/org/endivehold/http/HeadReaderTest.java
@@ -100,6 +100,64 @@
         assertEquals(part, failure(bytes(line + "\\r\\n\\r\\n")).part());
     }
 
+    @ParameterizedTest
+    @CsvSource({
+        "X A: 1, FIELD_NAME",
+        "X-A : 1, FIELD_NAME",
+        "X-A\\t: 1, FIELD_NAME",
+        "' X-A: 1', FIELD_NAME",
+        "'\\tX-A: 1', FIELD_NAME",
+        "X\\0A: 1, FIELD_NAME",
+        "X\\1A: 1, FIELD_NAME",
+        "X\\33A: 1, FIELD_NAME",
+        "X\\177A: 1, FIELD_NAME",
+        "X\\351A: 1, FIELD_NAME",
+        "X\\rA: 1, FIELD_NAME",
+        "X\\nA: 1, FIELD_NAME",
+        "\\nX-A: 1, FIELD_NAME",
+        "X(A): 1, FIELD_NAME",
+        "X-A, FIELD_NAME",
+        ": 1, FIELD_NAME",
+        "X-A: \\0, FIELD_VALUE",
+        "X-A: \\1, FIELD_VALUE",
+        "X-A: a\\rb, FIELD_VALUE",
+        "X-A: a\\nX-B: 1, FIELD_VALUE",
+        "X-A: a\\r\\r, FIELD_VALUE",
+        "X-A: \\177, FIELD_VALUE",
+        "Content-Length:, BODY_LENGTH",
+        "Content-Length: +4, BODY_LENGTH",
+        "Content-Length: -4, BODY_LENGTH",
+        "Content-Length: 0x4, BODY_LENGTH",
+        "Content-Length: 4 4, BODY_LENGTH",
+        "'Content-Length: 4, 4', BODY_LENGTH",
+        "Content-Length: 4\\r\\nContent-Length: 4, BODY_LENGTH",
+        "Content-Length: 4\\r\\ncontent-length: 5, BODY_LENGTH",
+        "Content-Length: 99999999999999999999, BODY_LENGTH",
+        "Transfer-Encoding: gzip, BODY_LENGTH",
+        "'Transfer-Encoding: gzip, chunked', BODY_LENGTH",
+        "Transfer-Encoding: identity, BODY_LENGTH",
+        "Transfer-Encoding: chunked\\r\\nTransfer-Encoding: chunked, BODY_LENGTH",
+        "Transfer-Encoding: chunked\\r\\nContent-Length: 4, BODY_LENGTH"
+    })
+    void anInvalidFieldIsNoHead(String field, HeadPart part) {
+        assertEquals(
+                part,
+                failure(bytes("HTTP/1.1 200 OK\\r\\n" + field + "\\r\\n\\r\\n")).part());
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.0 200 OK\\r\\nTransfer-Encoding: chunked",
+                "HTTP/1.1 204 No Content\\r\\nContent-Length: 4",
+                "HTTP/1.1 204 No Content\\r\\nTransfer-Encoding: chunked",
+                "HTTP/1.1 100 Continue\\r\\nContent-Length: 4",
+                "HTTP/1.1 103 Early Hints\\r\\nTransfer-Encoding: chunked"
+            })
+    void aBodyThatTheAnswerCannotHaveIsNoHead(String head) {
+        assertEquals(HeadPart.BODY_LENGTH, failure(bytes(head + "\\r\\n\\r\\n")).part());
+    }
+
     @Test
     void aHeadWithoutEndIsCutOff() {
         assertEquals(
@@ -111,10 +169,11 @@
 
     @Test
     void theExcerptIsEscapedAndCut() {
-        InvalidAnswerException e = failure(bytes("HTTP/1.1 100%\\1\\351" + "y".repeat(500) + "\\r\\n"));
-        assertEquals("HTTP/1.1 100%25%01%e9" + "y".repeat(45), e.excerpt());
+        InvalidAnswerException e =
+                failure(bytes("HTTP/1.1 200 OK\\r\\nX 100%\\1\\351" + "y".repeat(500) + ": 1\\r\\n"));
+        assertEquals("X 100%25%01%e9" + "y".repeat(52), e.excerpt());
         assertEquals(
-                "event=invalid-answer request=r upstream=u part=status-line bytes=\"" + e.excerpt() + '"',
+                "event=invalid-answer request=r upstream=u part=field-name bytes=\"" + e.excerpt() + '"',
                 e.event("r", "u").toString());
     }
 }
--- a/relay/src/test/java/org/endivehold/relay/serve/InvalidHeadTest.java
+++ b/relay/src/test/java/org/endivehold/relay/serve/InvalidHeadTest.java
@@ -14,8 +14,8 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
- * Guards against an upstream in trouble whose answer has an invalid head: a status line that is none, or a status that
- * does not exist. It is a broken attempt, and no part of it reaches a caller.
+ * Guards against an upstream in trouble whose answer has an invalid head: a status that does not exist, a line that is
+ * no field, or a body whose length cannot be told. It is a broken attempt, and no part of it reaches a caller.
  */
 class InvalidHeadTest {
     private static final String SEAL = "attempt: ATTEMPT\r\nsignature: s\r\n";
@@ -26,10 +26,11 @@
             "HTTP/1.1 200 OK\r\n" + SEAL + "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: good\n\n";
     private static final String[] HEADERS = {"attempt: a", "remaining: 1400", "prompt: 1000", "output: 100"};
 
-    /** Starts of heads: a status line that makes the whole head invalid. */
+    /** Starts of heads: a status line, and perhaps a field, that make the whole head invalid. */
     private static final List<String> INVALID_STARTS = List.of(
             "HTTP/1.1 000 \r\n",
             "HTTP/1.1 099 Odd\r\n",
+            "HTTP/1.1 102 Processing\r\nContent-Length: 4\r\n\r\n",
             "HTTP/1.1 101 Switching Protocols\r\n",
             "HTTP/1.1 600 Odd\r\n",
             "HTTP/1.1 999 Odd\r\n",
@@ -42,7 +43,33 @@
             "http/1.1 200 OK\r\n",
             "\u0001HTTP/1.1 200 OK\r\n",
             "\r\nHTTP/1.1 200 OK\r\n",
-            "HTTP/1.1 200 OK\n");
+            "HTTP/1.1 200 OK\n",
+            "HTTP/1.1 200 OK\r\nx-b ad: evil\r\n",
+            "HTTP/1.1 200 OK\r\nx-bad : evil\r\n",
+            "HTTP/1.1 200 OK\r\nx-bad\t: evil\r\n",
+            "HTTP/1.1 200 OK\r\n x-bad: evil\r\n",
+            "HTTP/1.1 200 OK\r\nx-ok: 1\r\n x-bad: evil\r\n",
+            "HTTP/1.1 200 OK\r\nx-b\u0001ad: evil\r\n",
+            "HTTP/1.1 200 OK\r\nx-b\u0000ad: evil\r\n",
+            "HTTP/1.1 200 OK\r\nx-b\u007fad: evil\r\n",
+            "HTTP/1.1 200 OK\r\n\nx-bad: evil\r\n",
+            "HTTP/1.1 200 OK\r\nx-b\rad: evil\r\n",
+            "HTTP/1.1 200 OK\r\nx-bad\r\n",
+            "HTTP/1.1 200 OK\r\n: evil\r\n",
+            "HTTP/1.1 200 OK\r\nx-bad: ev\u0001il\r\n",
+            "HTTP/1.1 200 OK\r\nx-bad: ev\u0000il\r\n",
+            "HTTP/1.1 200 OK\r\nx-bad: ev\ril\r\n",
+            "HTTP/1.1 200 OK\r\nx-bad: ev\nContent-Length: 2\r\n",
+            "HTTP/1.1 200 OK\r\nContent Length: 2\r\n",
+            "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n",
+            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 4\r\n",
+            "HTTP/1.1 200 OK\r\nContent-Length: +4\r\n",
+            "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n",
+            "HTTP/1.1 200 OK\r\nContent-Length: 4, 2\r\n",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n",
+            "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n");
 
     private static Stream<Arguments> cases() {
         List<Arguments> cases = new ArrayList<>();
