The project's own interface and its key-value service read only valid answers

Answers with status 000, 102 or 600, and with fields that are none, were taken for answers of plain services, load reports and confirmed cancellations; a compare-and-swap whose answer had an invalid field was reported as done, and a status such as 000 as a refusal by which nothing was written, which an answer that is none can't tell. Cause: UpstreamService and EtcdClient used the lenient client. Change: both create their clients in the module http. An invalid answer is UPSTREAM_BROKEN with unknown run outcome, which marks the upstream as suspect, or STORE_UNKNOWN for a write. It is logged with the id of the request or stream, and counted. Its error type maps to 502, not to 503, which would promise that nothing ran. Calls that serve no caller are logged without a request.

--- a/daemon/src/main/java/org/endivehold/daemon/platform/EtcdClient.java
+++ b/daemon/src/main/java/org/endivehold/daemon/platform/EtcdClient.java
@@ -16,6 +16,9 @@
 import org.endivehold.daemon.settings.Settings;
 import org.endivehold.error.EndiveholdException;
 import org.endivehold.error.ErrorType;
+import org.endivehold.http.HttpClients;
+import org.endivehold.http.InvalidAnswerException;
+import org.jboss.logging.Logger;
 
 /**
  * HTTP client of the key-value service: posts JSON to its endpoints, each call with a timeout and a typed outcome.
@@ -25,6 +28,7 @@
  * call that only reads fails as unavailable.
  */
 final class EtcdClient {
+    private static final Logger log = Logger.getLogger(EtcdClient.class);
     private static final int MAX_ANSWER_BYTES = 64 * 1024 * 1024;
     private static final int MAX_CONNECTIONS_PER_ENDPOINT = 32;
     private static final int MAX_QUEUED_CALLS_PER_ENDPOINT = 4_096;
@@ -44,7 +48,7 @@
         PoolOptions pool = new PoolOptions()
                 .setHttp1MaxSize(MAX_CONNECTIONS_PER_ENDPOINT)
                 .setMaxWaitQueueSize(MAX_QUEUED_CALLS_PER_ENDPOINT);
-        client = vertx.createHttpClient(options, pool);
+        client = HttpClients.create(vertx, options, pool);
     }
 
     Future<Void> close() {
@@ -65,7 +69,13 @@
     Future<HttpClientResponse> stream(String path, JsonObject body) {
         return client.request(options(path, preferredEndpoint))
                 .onFailure(failure -> preferEndpointAfter(preferredEndpoint))
-                .compose(request -> request.send(body.toBuffer()));
+                .compose(request -> request.send(body.toBuffer()))
+                .onFailure(EtcdClient::logInvalid);
+    }
+
+    private static void logInvalid(Throwable failure) {
+        InvalidAnswerException.find(failure)
+                .ifPresent(invalid -> invalid.event(null, "key-value service").warn(log));
     }
 
     private RequestOptions options(String path, int endpoint) {
@@ -132,6 +142,7 @@
             request = opened;
             sent = true;
             opened.send(body).compose(this::readBody).onFailure(failure -> {
+                logInvalid(failure);
                 preferEndpointAfter(endpoint);
                 failUnanswered(String.valueOf(failure.getMessage()));
             });
--- a/daemon/src/main/java/org/endivehold/daemon/request/GenerationRun.java
+++ b/daemon/src/main/java/org/endivehold/daemon/request/GenerationRun.java
@@ -1,6 +1,7 @@
 package org.endivehold.daemon.request;
 
 import java.util.List;
+import org.endivehold.daemon.upstream.InvalidAnswers;
 import org.endivehold.error.EndiveholdException;
 import org.endivehold.error.ErrorType;
 import org.endivehold.error.RunOutcome;
@@ -240,6 +241,7 @@
         RetryDecision decision = RetryDecision.of(new RetryDecision.FailedAttempt(
                 failure, stream.isAccepted(), assembler.tokens(), call.route().idempotent(), stream.resumes()));
         report.failed(upstream, failure, decision.action(), stream.isAccepted());
+        InvalidAnswers.report(resources.context(), call.id(), upstream, failure);
         selector.failed(upstream, !refused);
         switch (decision.action()) {
             case RESUME -> scheduleResume();
--- a/daemon/src/main/java/org/endivehold/daemon/request/PlainCallRun.java
+++ b/daemon/src/main/java/org/endivehold/daemon/request/PlainCallRun.java
@@ -12,6 +12,7 @@
 import org.endivehold.daemon.DaemonContext;
 import org.endivehold.daemon.ledger.ClaimOutcome;
 import org.endivehold.daemon.ledger.LedgerService;
+import org.endivehold.daemon.upstream.InvalidAnswers;
 import org.endivehold.daemon.upstream.UpstreamDirectory;
 import org.endivehold.error.EndiveholdException;
 import org.endivehold.error.ErrorType;
@@ -183,6 +184,7 @@
     }
 
     private void attemptFailed(Permit permit, EndiveholdException failure) {
+        InvalidAnswers.report(context, request.id(), permit.upstream(), failure);
         context.trace()
                 .note(request.id(), "attempt-failed", "reason=" + failure.type().label());
         if (failure.type() == ErrorType.UPSTREAM_BROKEN || failure.type() == ErrorType.UPSTREAM_UNREACHABLE) {
--- a/daemon/src/main/java/org/endivehold/daemon/request/ReattachedRun.java
+++ b/daemon/src/main/java/org/endivehold/daemon/request/ReattachedRun.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.function.Consumer;
+import org.endivehold.daemon.upstream.InvalidAnswers;
 import org.endivehold.error.EndiveholdException;
 import org.endivehold.error.ErrorType;
 import org.endivehold.error.RunOutcome;
@@ -132,6 +133,7 @@
 
     @Override
     public void failed(EndiveholdException failure) {
+        InvalidAnswers.report(resources.context(), token.stream(), token.upstream(), failure);
         boolean idempotent = false;
         // The first resume opened the stream here, and is not a retry.
         RetryDecision decision = RetryDecision.of(new RetryDecision.FailedAttempt(
--- a/daemon/src/main/java/org/endivehold/daemon/upstream/HttpEngine.java
+++ b/daemon/src/main/java/org/endivehold/daemon/upstream/HttpEngine.java
@@ -6,7 +6,6 @@
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpMethod;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
 import org.endivehold.config.Upstream;
@@ -90,7 +89,7 @@
     @Override
     public CompletionStage<Void> order(EngineOrder order) {
         Buffer body = Buffer.buffer(ProtocolJson.write(OrderBody.of(order)));
-        return control.call(HttpMethod.POST, EnginePaths.ORDERS, Map.of(), body, CONTROL_TIMEOUT_MILLIS)
+        return control.controlCall(HttpMethod.POST, EnginePaths.ORDERS, body, CONTROL_TIMEOUT_MILLIS)
                 .compose(answer -> EngineErrors.isFenced(answer.status(), answer.body())
                         ? Future.failedFuture(new EndiveholdException(ErrorType.ORDER_FENCED, name, order.epoch()))
                         : bodyOfSuccess(answer))
@@ -101,7 +100,7 @@
     @Override
     public CompletionStage<CacheHandle> prefillAndExport(GenerateRequest request) {
         Buffer body = Buffer.buffer(ProtocolJson.write(CompletionBody.of(request)));
-        return streams.call(HttpMethod.POST, EnginePaths.PREFILL, Map.of(), body, PREFILL_TIMEOUT_MILLIS)
+        return streams.controlCall(HttpMethod.POST, EnginePaths.PREFILL, body, PREFILL_TIMEOUT_MILLIS)
                 .compose(this::bodyOfSuccess)
                 .compose(answer -> parse(answer, ExportedBody.class))
                 .map(exported -> new CacheHandle(name, exported.id(), exported.tokens()))
@@ -145,7 +144,7 @@
     }
 
     private Future<Buffer> control(HttpMethod method, String path) {
-        return control.call(method, path, Map.of(), Buffer.buffer(), CONTROL_TIMEOUT_MILLIS)
+        return control.controlCall(method, path, Buffer.buffer(), CONTROL_TIMEOUT_MILLIS)
                 .compose(this::bodyOfSuccess);
     }
 
--- a/daemon/src/main/java/org/endivehold/daemon/upstream/HttpPlainService.java
+++ b/daemon/src/main/java/org/endivehold/daemon/upstream/HttpPlainService.java
@@ -77,7 +77,7 @@
 
     @Override
     public CompletionStage<PlainLoad> loadReport() {
-        return control.call(HttpMethod.GET, EnginePaths.LOAD, Map.of(), Buffer.buffer(), LOAD_TIMEOUT_MILLIS)
+        return control.controlCall(HttpMethod.GET, EnginePaths.LOAD, Buffer.buffer(), LOAD_TIMEOUT_MILLIS)
                 .compose(answer -> ProtocolJson.read(answer.body().getBytes(), PlainLoad.class)
                         .map(Future::succeededFuture)
                         .orElseGet(() -> Future.failedFuture(new EndiveholdException(
--- a/daemon/src/main/java/org/endivehold/daemon/upstream/UpstreamHttpClient.java
+++ b/daemon/src/main/java/org/endivehold/daemon/upstream/UpstreamHttpClient.java
@@ -13,10 +13,13 @@
 import org.endivehold.error.EndiveholdException;
 import org.endivehold.error.ErrorType;
 import org.endivehold.error.RunOutcome;
+import org.endivehold.http.InvalidAnswerException;
 import org.endivehold.misc.UpstreamName;
+import org.jboss.logging.Logger;
 
 /** HTTP client of one upstream, for calls whose whole answer is read into memory. */
 final class UpstreamHttpClient {
+    private static final Logger log = Logger.getLogger(UpstreamHttpClient.class);
     private static final long MAX_ANSWER_BYTES = 16L << 20;
 
     private final Vertx vertx;
@@ -85,6 +88,21 @@
         return promise.future();
     }
 
+    /**
+     * Makes a call that serves no request of a caller, and logs an invalid answer to it.
+     *
+     * @param method HTTP method
+     * @param path path with query
+     * @param body the body
+     * @param timeoutMillis timeout of the whole call, in milliseconds
+     * @return as for {@link #call}
+     */
+    Future<Answer> controlCall(HttpMethod method, String path, Buffer body, long timeoutMillis) {
+        return call(method, path, Map.of(), body, timeoutMillis)
+                .onFailure(failure -> InvalidAnswerException.find(failure)
+                        .ifPresent(invalid -> invalid.event(null, upstream).warn(log)));
+    }
+
     /** One call in progress; the first of answer, failure and timeout completes it. */
     private final class Exchange {
         private final Promise<Answer> promise;
@@ -126,7 +144,8 @@
         }
 
         private void failBroken(Throwable cause) {
-            if (cause instanceof EndiveholdException typed) {
+            boolean invalid = InvalidAnswerException.find(cause).isPresent();
+            if (!invalid && cause instanceof EndiveholdException typed) {
                 fail(typed);
             } else {
                 fail(new EndiveholdException(RunOutcome.UNKNOWN, ErrorType.UPSTREAM_BROKEN, upstream).causedBy(cause));
--- a/daemon/src/main/java/org/endivehold/daemon/upstream/UpstreamService.java
+++ b/daemon/src/main/java/org/endivehold/daemon/upstream/UpstreamService.java
@@ -16,6 +16,7 @@
 import org.endivehold.daemon.kernel.Service;
 import org.endivehold.error.EndiveholdException;
 import org.endivehold.error.ErrorType;
+import org.endivehold.http.HttpClients;
 import org.endivehold.misc.UpstreamName;
 import org.endivehold.upstream.Engine;
 import org.endivehold.upstream.PlainService;
@@ -128,6 +129,6 @@
                 .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
                 .setKeepAlive(false);
         PoolOptions pool = new PoolOptions().setHttp1MaxSize(perUpstream).setMaxWaitQueueSize(MAX_QUEUED_REQUESTS);
-        return vertx.createHttpClient(options, pool);
+        return HttpClients.create(vertx, options, pool);
     }
 }
--- a/daemon/src/test/java/org/endivehold/daemon/platform/EtcdStoreTest.java
+++ b/daemon/src/test/java/org/endivehold/daemon/platform/EtcdStoreTest.java
@@ -32,11 +32,13 @@
 import org.endivehold.platform.StoreEntry;
 import org.endivehold.platform.SwapResult;
 import org.endivehold.platform.WatchListener;
+import org.endivehold.standin.raw.RawStandin;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Checks {@link EtcdStore} against a server whose answers and faults each test sets. */
 class EtcdStoreTest {
@@ -135,6 +137,18 @@
         assertEquals(read, failure(store -> store.get("k"), endpoint));
     }
 
+    /** An invalid head would be taken for a refusal, or for an answer of which a part was mended. */
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 000 ", "HTTP/1.1 199 Odd", "HTTP/1.1 600 Odd", "HTTP/1.1 200 OK\r\nx bad: 1"})
+    void anInvalidAnswerLeavesTheOutcomeOfAWriteUnknown(String start) throws Exception {
+        String answer = start + "\r\n\r\n{\"succeeded\":true,\"kvs\":[]}";
+        try (RawStandin broken = new RawStandin(answer, RawStandin.End.CLOSE)) {
+            String address = "http://127.0.0.1:" + broken.port();
+            assertEquals(ErrorType.STORE_UNKNOWN, failure(EtcdStoreTest::compareAndSwap, address));
+            assertEquals(ErrorType.STORE_UNAVAILABLE, failure(store -> store.get("k"), address));
+        }
+    }
+
     @Test
     void timeoutAndBrokenConnectionLeaveTheOutcomeOfAWriteUnknown() throws Exception {
         timeoutMillis = SHORT_TIMEOUT_MILLIS;
