--- a/daemon/src/test/java/org/endivehold/daemon/upstream/InvalidAnswerTest.java
+++ b/daemon/src/test/java/org/endivehold/daemon/upstream/InvalidAnswerTest.java
@@ -27,13 +27,17 @@
 import org.endivehold.upstream.StreamPiece;
 import org.endivehold.upstream.StreamStarted;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** Guards against answers of a server in trouble that are no valid HTTP and were taken for complete. */
+/** Guards against answers of a server in trouble that are no valid HTTP, or break off, and were taken for complete. */
 class InvalidAnswerTest {
     private static final long LIMIT_SECONDS = 10;
     private static final int CALL_MILLIS = 5_000;
+    /** More than the buffers of a loopback connection hold, in bytes. */
+    private static final int LONG_BODY_BYTES = 4_000_000;
+
     private static final String LOAD = "{\"boot\":1,\"running\":0,\"waiting\":0,\"cold\":false}";
     private static final String EVENTS =
             """
@@ -134,4 +138,12 @@
             assertBroken(resume(engine(stream)));
         }
     }
+
+    @Test
+    void anAnswerThatIsResetDuringTheUploadIsABrokenAttempt() throws Exception {
+        String part = "HTTP/1.1 200 OK\r\n\r\npart of a body";
+        try (RawStandin standin = new RawStandin(part, RawStandin.End.RESET_DURING_UPLOAD)) {
+            assertBroken(plainService(standin).call(call(LONG_BODY_BYTES)));
+        }
+    }
 }
--- a/http/src/main/java/org/endivehold/http/AnswerGuard.java
+++ b/http/src/main/java/org/endivehold/http/AnswerGuard.java
@@ -2,17 +2,20 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
+import io.netty.channel.ChannelPromise;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.impl.HttpClientConnectionInternal;
+import java.io.IOException;
 
 /**
  * Passes on the answers of one connection to the HTTP library only if they are valid. It stands before the decoder,
@@ -21,8 +24,12 @@
  *
  * <p>Interim answers are checked and left out. A body is passed on as it is: the decoder finds its end, and the handler
  * of {@link #answerEnds} behind the decoder tells when the next head is due.
+ *
+ * <p>A body without a length ends with its connection, also for the decoder. If the request could not be written to its
+ * end, the connection was not closed by the upstream after a complete answer: the failed write closed it, and the reset
+ * that made it fail is never read. So the connection fails before the decoder sees its end.
  */
-final class AnswerGuard extends ChannelInboundHandlerAdapter {
+final class AnswerGuard extends ChannelDuplexHandler {
     /** Most interim answers before a final one. */
     private static final int MAX_INTERIM_ANSWERS = 16;
 
@@ -36,6 +43,7 @@
     private HeadReader head = new HeadReader();
     private int interimAnswers;
     private boolean headPassed;
+    private boolean writeFailed;
 
     private AnswerGuard() {}
 
@@ -121,4 +129,18 @@
         context.fireExceptionCaught(failure);
         ChannelFuture unused = context.close();
     }
+
+    @Override
+    public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) throws Exception {
+        super.write(context, message, promise.unvoid().addListener(written -> writeFailed |= !written.isSuccess()));
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        if (state == State.BODY && writeFailed) {
+            state = State.FAILED;
+            context.fireExceptionCaught(new IOException("the connection ended while the request was written"));
+        }
+        context.fireChannelInactive();
+    }
 }
--- a/http/src/main/java/org/endivehold/http/HttpClients.java
+++ b/http/src/main/java/org/endivehold/http/HttpClients.java
@@ -7,7 +7,7 @@
 
 /**
  * Creates the HTTP clients of this project. A call fails with an {@link InvalidAnswerException} if the head of its
- * answer is invalid.
+ * answer is invalid, and with another failure if the connection ends before the request has been written.
  */
 public final class HttpClients {
     private HttpClients() {}
