--- a/relay/src/test/java/org/endivehold/relay/serve/ScriptedUpstream.java
+++ b/relay/src/test/java/org/endivehold/relay/serve/ScriptedUpstream.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 
 /** An upstream that answers each request with the next of its prepared byte sequences, one request per connection. */
 final class ScriptedUpstream implements AutoCloseable {
@@ -33,13 +34,32 @@
         /** The last event of the reply is sent again and again until the relay closes the connection. */
         ENDLESS_EVENTS,
         /** Closed with a TCP reset, as the process ends; nothing listens on its port any more. */
-        CRASH
+        CRASH,
+        /** Sent before the body of the request is read; closed with a TCP reset at once. */
+        EARLY_RESET_AT_ONCE,
+        /** Sent before the body of the request is read; closed with a TCP reset once the reply has been read. */
+        EARLY_RESET_LATER,
+        /** Sent before the body of the request is read; closed normally with that body unread. */
+        EARLY_CLOSE,
+        /** Sent before the body of the request is read; closed for writing, and later with a TCP reset. */
+        EARLY_HALF_CLOSE,
+        /** Sent before the body of the request is read; closed normally after that body. */
+        EARLY_READ_ON;
+
+        /** Returns whether the reply is sent before the body of the request is read. */
+        boolean isEarly() {
+            return name().startsWith("EARLY");
+        }
     }
 
     /** A reply; {@code ATTEMPT} in its bytes is replaced by the attempt id of the request. */
     record Reply(String bytes, End end) {}
 
     private static final int LINES_AT_ONCE = 20_000;
+    /** Small, so that a long body is still being sent while it is not read, in bytes. */
+    private static final int RECEIVE_BUFFER_BYTES = 8 << 10;
+    /** Time in which the relay reads a reply on the loopback interface, in milliseconds. */
+    private static final int READ_MILLIS = 100;
 
     private final ServerSocket server;
     private final Queue<Reply> replies = new ConcurrentLinkedQueue<>();
@@ -50,6 +70,7 @@
 
     ScriptedUpstream() throws IOException {
         server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        server.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
         Thread thread = new Thread(this::accept, "scripted-upstream");
         thread.setDaemon(true);
         thread.start();
@@ -100,10 +121,13 @@
 
     private void serve(Socket socket) {
         try (socket) {
-            String request = read(socket.getInputStream());
-            if (request.isEmpty()) {
+            String head = readHead(socket.getInputStream());
+            if (head.isEmpty()) {
                 return;
             }
+            Reply pending = replies.peek();
+            boolean early = pending != null && pending.end().isEarly();
+            String request = early ? head : head + readBody(head, socket.getInputStream());
             requests.add(request);
             Reply reply = replies.poll();
             onRequest.run();
@@ -117,7 +141,9 @@
             if (reply.end() == End.CRASH) {
                 close();
             }
-            if (reply.end() == End.RESET || reply.end() == End.CRASH) {
+            if (reply.end().isEarly()) {
+                endEarly(socket, reply.end(), head);
+            } else if (reply.end() == End.RESET || reply.end() == End.CRASH) {
                 awaitRead(socket);
                 socket.setSoLinger(true, 0);
             } else if (reply.end() == End.ENDLESS) {
@@ -168,8 +194,28 @@
         }
     }
 
-    /** Reads a request; empty if the connection was closed without one, as a check of the process does. */
-    private static String read(InputStream in) throws IOException {
+    /** Ends a connection whose request body has not been read. */
+    private void endEarly(Socket socket, End end, String head) throws IOException, InterruptedException {
+        if (end == End.EARLY_READ_ON) {
+            readBody(head, socket.getInputStream());
+            return;
+        }
+        if (end == End.EARLY_HALF_CLOSE) {
+            socket.shutdownOutput();
+        }
+        if (end != End.EARLY_RESET_AT_ONCE) {
+            ended.await(READ_MILLIS, TimeUnit.MILLISECONDS);
+        }
+        if (end != End.EARLY_CLOSE) {
+            socket.setSoLinger(true, 0);
+        }
+    }
+
+    /**
+     * Reads the head of a request, in lower case; empty if the connection was closed without one, as a check of the
+     * process does.
+     */
+    private static String readHead(InputStream in) throws IOException {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         String head = "";
         while (!head.endsWith("\r\n\r\n")) {
@@ -183,13 +229,16 @@
             bytes.write(next);
             head = bytes.toString(StandardCharsets.UTF_8);
         }
-        String lower = head.toLowerCase(Locale.ROOT);
+        return head.toLowerCase(Locale.ROOT);
+    }
+
+    private static String readBody(String head, InputStream in) throws IOException {
         int length = 0;
-        int at = lower.indexOf("content-length: ");
+        int at = head.indexOf("content-length: ");
         if (at >= 0) {
-            length = Integer.parseInt(lower.substring(at + 16, lower.indexOf('\r', at)));
+            length = Integer.parseInt(head.substring(at + 16, head.indexOf('\r', at)));
         }
-        return lower + new String(in.readNBytes(length), StandardCharsets.UTF_8);
+        return new String(in.readNBytes(length), StandardCharsets.UTF_8);
     }
 
     /** Stops listening, and waits until the thread that accepts connections no longer holds the port open. */
