The command line tool takes an invalid answer for none

An answer with an invalid field was shown as the cluster's, one with status 000 ended the command with "no detail", and other daemons were not asked. Cause: DaemonClient used the lenient client. Change: it uses that of the module http. The tool goes on to the next daemon, as after a connection that broke; a publish takes effect once by its id.

--- a/cli/src/main/java/org/endivehold/cli/DaemonClient.java
+++ b/cli/src/main/java/org/endivehold/cli/DaemonClient.java
@@ -7,6 +7,7 @@
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.json.JsonObject;
 import java.util.ArrayList;
@@ -16,6 +17,7 @@
 import java.util.concurrent.TimeUnit;
 import org.endivehold.error.EndiveholdException;
 import org.endivehold.error.ErrorType;
+import org.endivehold.http.HttpClients;
 
 /**
  * HTTP client for the operators' port. It tries the daemons in order until one answers. Repeating a call whose outcome
@@ -26,8 +28,8 @@
     private static final long CALL_TIMEOUT_MILLIS = 30_000;
 
     private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
-    private final HttpClient client =
-            vertx.createHttpClient(new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS));
+    private final HttpClient client = HttpClients.create(
+            vertx, new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS), new PoolOptions());
     private final List<String> daemons;
     private final String token;
 
