Orders and calls to the platform's store read only valid answers

A release that was answered with status 000 counted as done, so that the memory stayed reserved until it expired; a reservation with status 102 or 600 counted as refused by the engine, and one whose answer had an invalid field as held. A write to the store that was answered with 000 counted as refused, though its outcome is unknown. Cause: OrderClient and PlatformStoreClient used the lenient client. An invalid answer to an order is none (UPSTREAM_TIMEOUT, tried again as before), one to a call of the store leaves a write unknown; it is logged, and counted in endivehold.invalid.answers or as result invalid of endivehold.store.calls.

--- a/daemon/src/main/java/org/endivehold/daemon/entry/EntryDaemon.java
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/EntryDaemon.java
@@ -149,6 +149,8 @@
         DeferredMeters<PrometheusMeterRegistry> meters = new DeferredMeters<>(EntryDaemon::createRegistry);
         store.onCallEnded(new StoreCallMetrics(meters));
         HeldBodies bodies = HeldBodies.inHeap(Runtime.getRuntime().maxMemory());
+        RelayMetrics metrics = new RelayMetrics(meters, bodies);
+        orders.onInvalidAnswer(metrics::invalidAnswer);
         callers = callers(new RelayContext(
                 vertx,
                 ticker,
@@ -169,7 +171,7 @@
                 retries(settings.bounds()),
                 daemons,
                 bodies,
-                new RelayMetrics(meters, bodies)));
+                metrics));
         dispatcher.onForwardOffer(callers::offered);
         status = new StatusServer(vertx, settings, headerCodec.readinessPath(), meters, fleet::complete, heads);
     }
--- a/relay/src/main/java/org/endivehold/relay/serve/EngineMemoryClient.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/EngineMemoryClient.java
@@ -1,6 +1,8 @@
 package org.endivehold.relay.serve;
 
 import io.vertx.core.Future;
+import java.util.function.Consumer;
+import org.endivehold.http.InvalidAnswerException;
 import org.endivehold.relay.state.Upstream;
 
 /** Client for the commands that reserve and release memory at engines. */
@@ -8,6 +10,9 @@
     /** Sets the listener for the head of each answer to a command. */
     default void onAnswer(UpstreamTrafficListener listener) {}
 
+    /** Sets the listener for answers to commands that were invalid, and so count as none. */
+    default void onInvalidAnswer(Consumer<InvalidAnswerException> listener) {}
+
     /**
      * Reserves memory, or renews a reservation with the same id.
      *
--- a/relay/src/main/java/org/endivehold/relay/serve/RelayMetrics.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/RelayMetrics.java
@@ -5,7 +5,7 @@
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Timer;
 import java.time.Duration;
-import org.endivehold.http.HeadPart;
+import org.endivehold.http.InvalidAnswerException;
 import org.endivehold.relay.limit.HeldBytes;
 
 /** Counters and histograms of the serving path. */
@@ -61,8 +61,9 @@
     }
 
     /** Counts an answer that was invalid, by the part that made it so. */
-    void invalidAnswer(HeadPart part) {
-        meters.record(registry -> registry.counter("endivehold.invalid.answers", "part", part.label())
+    public void invalidAnswer(InvalidAnswerException invalid) {
+        meters.record(registry -> registry.counter(
+                        "endivehold.invalid.answers", "part", invalid.part().label())
                 .increment());
     }
 
--- a/relay/src/main/java/org/endivehold/relay/serve/UpstreamClient.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/UpstreamClient.java
@@ -100,6 +100,6 @@
     private void reportInvalid(InvalidAnswerException invalid, OutgoingRequest outgoing, Upstream upstream) {
         String request = headerCodec.parseRequest(outgoing.headers()).attemptId();
         invalid.event(request, upstream.id()).warn(log);
-        metrics.invalidAnswer(invalid.part());
+        metrics.invalidAnswer(invalid);
     }
 }
