An invalid head that another daemon passes on is no answer

A request that went by way of another daemon got whatever head that daemon passed on: a daemon of an older version does not check it. Callers got such a status, or nothing at all: the HTTP library refuses to write a field with a control byte, and the caller waited in vain. Cause: ForwardedRequest took the head of the message as it came. Change: the receiving side asks the same rules (HeadRules) about status and fields. An invalid head counts as an attempt lost at that daemon: another daemon is asked if the request may run again, or the caller gets 502.

--- a/http/src/main/java/org/endivehold/http/HeadRules.java
+++ b/http/src/main/java/org/endivehold/http/HeadRules.java
@@ -1,6 +1,7 @@
 package org.endivehold.http;
 
 import java.util.Map;
+import java.util.Optional;
 
 /** What makes the status and the fields of an answer valid, by RFC 9110 and RFC 9112. */
 public final class HeadRules {
@@ -22,9 +23,18 @@
      *
      * @param status HTTP status
      * @param fields names and values of the fields
-     * @throws InvalidAnswerException if HTTP has no such answer
+     * @return why HTTP has no such answer; empty if it is valid
      */
-    public static void checkFinal(int status, Iterable<Map.Entry<String, String>> fields)
+    public static Optional<InvalidAnswerException> violation(int status, Iterable<Map.Entry<String, String>> fields) {
+        try {
+            checkFinal(status, fields);
+            return Optional.empty();
+        } catch (InvalidAnswerException e) {
+            return Optional.of(e);
+        }
+    }
+
+    private static void checkFinal(int status, Iterable<Map.Entry<String, String>> fields)
             throws InvalidAnswerException {
         if (status < FIRST_FINAL_STATUS) {
             throw new InvalidAnswerException(HeadPart.STATUS, Integer.toString(status));
--- a/relay/src/main/java/org/endivehold/relay/serve/ForwardedRequest.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/ForwardedRequest.java
@@ -11,10 +11,13 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import org.endivehold.error.ErrorType;
+import org.endivehold.http.HeadRules;
+import org.endivehold.http.InvalidAnswerException;
 import org.endivehold.relay.limit.HeldBytes;
 import org.endivehold.relay.peer.DaemonEntry;
 import org.endivehold.relay.peer.PeerMessage;
 import org.endivehold.relay.peer.PeerStream;
+import org.jboss.logging.Logger;
 
 /**
  * Serves a request by way of another daemon, which reaches the upstreams of its service.
@@ -29,6 +32,7 @@
  * accepts it, and is killed after event 7. {@code a} offers the rest, after event 7, to {@code d}.
  */
 final class ForwardedRequest implements RequestHandler {
+    private static final Logger log = Logger.getLogger(ForwardedRequest.class);
     /** Most daemons to which one request is offered. */
     private static final int MAX_OFFERS = 4;
     /** Time within which an offer has to be answered, in milliseconds. */
@@ -213,7 +217,7 @@
             restartTimer(SILENCE_MILLIS);
         }
         if (message instanceof PeerMessage.ForwardedHead begun) {
-            head = begun;
+            headReceived(begun);
         } else if (message instanceof PeerMessage.ForwardedBytes part && head != null) {
             bytes(part.bytes());
         } else if (message instanceof PeerMessage.ForwardedEnd && head != null) {
@@ -224,6 +228,18 @@
         }
     }
 
+    /** Takes the head of the response, unless it is invalid: an older version passes on whatever an upstream sends. */
+    private void headReceived(PeerMessage.ForwardedHead begun) {
+        Optional<InvalidAnswerException> violation = HeadRules.violation(begun.status(), multiMap(begun.headers()));
+        if (violation.isEmpty()) {
+            head = begun;
+            return;
+        }
+        violation.get().event(exchange.requestHead().attemptId(), daemon.name()).warn(log);
+        context.metrics().invalidAnswer(violation.get());
+        connectionLost("invalid-answer");
+    }
+
     private void sendRequest() {
         accepted = true;
         restartTimer(SILENCE_MILLIS);
--- a/relay/src/test/java/org/endivehold/relay/serve/RelayFixture.java
+++ b/relay/src/test/java/org/endivehold/relay/serve/RelayFixture.java
@@ -59,6 +59,9 @@
     final List<ScriptedUpstream> engines = new ArrayList<>();
     final List<String> memoryCommands = new ArrayList<>();
     final List<PeerMessage> peerMessages = new CopyOnWriteArrayList<>();
+    /** The other daemons. */
+    final List<DaemonEntry> neighbours = new CopyOnWriteArrayList<>();
+
     private static final int MAX_CONNECTIONS = 1_000;
     private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
     final SimpleMeterRegistry registry = new SimpleMeterRegistry();
@@ -133,7 +136,7 @@
                 health,
                 availability,
                 paths,
-                new Neighbours(ticker, random, new NoPeers()),
+                new Neighbours(ticker, random, new FixedPeers()),
                 new CrashMonitor(
                         ticker,
                         new ReferencedCheck(new ConnectionCheck(vertx), paths),
@@ -305,8 +308,8 @@
                 .findFirst();
     }
 
-    /** There are no other daemons. */
-    private static final class NoPeers implements PathPeers {
+    /** Tells the relay of the other daemons; messages to all of them are dropped. */
+    private final class FixedPeers implements PathPeers {
         @Override
         public DaemonEntry self() {
             return new DaemonEntry("d", "127.0.0.1", 1, "z", 1);
@@ -314,7 +317,7 @@
 
         @Override
         public Collection<DaemonEntry> others() {
-            return List.of();
+            return neighbours;
         }
 
         @Override
