A response that HTTP does not allow is not written to a caller

What callers saw: nothing was reported; the last place at which an impossible status could be caught passed it on. One from a ledger that an older version has written would still come that way, and a fault of our own as well. Cause: Exchange of the relay and PlainHandler of the project's own interface wrote whatever status and fields they were given. A response that breaks them becomes 502 invalid-answer, since the request may have run, with a log line and the counter; for a stream the attempt is ended as well. The entry hosts' test fixture keeps its recorder of commands in a class of its own, as its constructor had grown long.

--- a/daemon/src/main/java/org/endivehold/daemon/http/PlainHandler.java
+++ b/daemon/src/main/java/org/endivehold/daemon/http/PlainHandler.java
@@ -11,8 +11,11 @@
 import org.endivehold.daemon.DaemonContext;
 import org.endivehold.daemon.request.PlainRequest;
 import org.endivehold.daemon.request.PlainRunner;
+import org.endivehold.daemon.upstream.InvalidAnswers;
 import org.endivehold.error.EndiveholdException;
 import org.endivehold.error.ErrorType;
+import org.endivehold.http.HeadRules;
+import org.endivehold.http.InvalidAnswerException;
 import org.endivehold.upstream.PlainAnswer;
 import org.endivehold.upstream.PlainCall;
 
@@ -87,10 +90,17 @@
         return headers;
     }
 
-    private static Future<Void> send(Exchange exchange, PlainAnswer answer) {
+    private Future<Void> send(Exchange exchange, PlainAnswer answer) {
         if (exchange.response().closed()) {
             return Future.succeededFuture();
         }
+        Optional<InvalidAnswerException> violation =
+                HeadRules.violation(answer.status(), answer.headers().entrySet());
+        if (violation.isPresent()) {
+            // An older version may have recorded it, as the answer to an earlier call with this key.
+            InvalidAnswers.report(context, exchange.id(), "response", violation.get());
+            return sendError(exchange, violation.get());
+        }
         answer.headers().forEach((name, value) -> {
             if (FORWARDED_RESPONSE_HEADERS.contains(name.toLowerCase(java.util.Locale.ROOT))) {
                 exchange.response().putHeader(name, value);
--- a/daemon/src/test/java/org/endivehold/daemon/http/CallerHttpServerTest.java
+++ b/daemon/src/test/java/org/endivehold/daemon/http/CallerHttpServerTest.java
@@ -17,6 +17,8 @@
 import io.vertx.core.net.NetSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.endivehold.daemon.Daemon;
 import org.endivehold.daemon.DaemonContext;
@@ -29,6 +31,7 @@
 import org.endivehold.error.ErrorType;
 import org.endivehold.misc.ModelName;
 import org.endivehold.misc.RequestId;
+import org.endivehold.upstream.PlainAnswer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -47,6 +50,7 @@
     private DaemonContext context;
     private CallerHttpServer callerServer;
     private Kernel kernel;
+    private final FakeRunners.Plain plain = new FakeRunners.Plain();
     private HttpClient client;
 
     @BeforeEach
@@ -64,11 +68,7 @@
         Settings settings = SettingsReader.parse(json.encode());
         context = new Daemon(settings).context();
         callerServer = new CallerHttpServer(context);
-        kernel = new Kernel()
-                .add(callerServer)
-                .add(generation)
-                .add(new FakeRunners.Plain())
-                .add(new FakeRunners.Config(configured));
+        kernel = new Kernel().add(callerServer).add(generation).add(plain).add(new FakeRunners.Config(configured));
         await(kernel.start());
         client = context.vertx().createHttpClient();
     }
@@ -269,6 +269,17 @@
         assertEquals(404, none.status());
     }
 
+    /** An earlier version may have recorded an answer that is none, and a later call with the same key gets it. */
+    @ParameterizedTest
+    @CsvSource({"0, content-type", "102, content-type", "600, content-type", "200, content type"})
+    void anInvalidAnswerIsReplacedByAnError(int status, String field) throws Exception {
+        plain.answer = Optional.of(new PlainAnswer(status, Map.of(field, "text/plain"), new byte[0]));
+        Reply reply = post("/shifts/confirm", "{}", "Idempotency-Key", "k1");
+        assertEquals(502, reply.status());
+        assertEquals("invalid-answer", reply.json().getString("title"));
+        assertEquals("unknown", reply.json().getString("run"));
+    }
+
     @Test
     void forwardsPlainCalls() throws Exception {
         Reply refused = post("/shifts/confirm", "{}");
--- a/daemon/src/test/java/org/endivehold/daemon/http/FakeRunners.java
+++ b/daemon/src/test/java/org/endivehold/daemon/http/FakeRunners.java
@@ -109,12 +109,18 @@
 
     /** Answers each plain call with its path and idempotency key. */
     static final class Plain extends FakeService implements PlainRunner {
+        /** The answer to all calls, if one is set. */
+        Optional<PlainAnswer> answer = Optional.empty();
+
         Plain() {
             super(PlainRunner.NAME);
         }
 
         @Override
         public Future<PlainAnswer> submit(PlainRequest request) {
+            if (answer.isPresent()) {
+                return Future.succeededFuture(answer.get());
+            }
             String text = request.call().path() + " " + request.idempotencyKey().orElse("-");
             return Future.succeededFuture(new PlainAnswer(
                     201,
--- a/relay/src/main/java/org/endivehold/relay/serve/Exchange.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/Exchange.java
@@ -5,6 +5,8 @@
 import io.vertx.core.buffer.Buffer;
 import java.util.Optional;
 import org.endivehold.error.ErrorType;
+import org.endivehold.http.HeadRules;
+import org.endivehold.http.InvalidAnswerException;
 import org.endivehold.misc.LogEvent;
 import org.endivehold.relay.route.Customer;
 import org.endivehold.relay.route.RelayRoute;
@@ -20,6 +22,9 @@
     /** Margin before the caller's deadline for the response to reach the caller, in milliseconds. */
     private static final long RESPONSE_MARGIN_MILLIS = 30;
 
+    /** Status of a request that may have run. */
+    private static final int BAD_GATEWAY = 502;
+
     private static final Logger log = Logger.getLogger(Exchange.class);
 
     private final RelayContext context;
@@ -111,7 +116,7 @@
      * @return completes when the response has been written, or will not be
      */
     Future<Void> respond(int status, MultiMap headers, Buffer body) {
-        if (ended) {
+        if (ended || failIfInvalid(status, headers)) {
             return Future.succeededFuture();
         }
         responseBegun = true;
@@ -126,7 +131,7 @@
 
     /** Writes the head of a streamed response; does nothing if it was written before. */
     void beginStream(int status, MultiMap headers) {
-        if (ended || responseBegun) {
+        if (ended || responseBegun || failIfInvalid(status, headers)) {
             return;
         }
         responseBegun = true;
@@ -134,6 +139,24 @@
         channel.beginStream(status, headers);
     }
 
+    /**
+     * Responds with a failure in place of a response that HTTP does not allow. Every reader of answers refuses such a
+     * one, so this is a fault of the daemon itself.
+     *
+     * @return whether it did
+     */
+    private boolean failIfInvalid(int status, MultiMap headers) {
+        Optional<InvalidAnswerException> violation = HeadRules.violation(status, headers);
+        if (violation.isEmpty()) {
+            return false;
+        }
+        violation.get().event(requestHead.attemptId(), "response").warn(log);
+        context.metrics().invalidAnswer(violation.get());
+        onCancel.run();
+        fail(BAD_GATEWAY, ErrorType.INVALID_ANSWER, 0);
+        return true;
+    }
+
     /** Adds an event to those that {@link #flushEvents} writes. */
     void writeEvent(Buffer bytes) {
         if (ended) {
--- a/relay/src/test/java/org/endivehold/relay/serve/RelayFixture.java
+++ b/relay/src/test/java/org/endivehold/relay/serve/RelayFixture.java
@@ -65,6 +65,7 @@
     private static final int MAX_CONNECTIONS = 1_000;
     private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
     final SimpleMeterRegistry registry = new SimpleMeterRegistry();
+    private final RelayContext context;
     private final CallerServer server;
     private final int port;
     private final RoutingTable table;
@@ -102,19 +103,6 @@
                 .requireApiKeys()
                 .build();
         Ticker ticker = Ticker.system();
-        EngineMemoryClient recordingMemory = new EngineMemoryClient() {
-            @Override
-            public Future<Void> reserve(Upstream engine, String id, long tokens, int holdMillis) {
-                memoryCommands.add("reserve " + engine.id() + " " + tokens);
-                return Future.succeededFuture();
-            }
-
-            @Override
-            public Future<Void> release(Upstream engine, String id) {
-                memoryCommands.add("release " + engine.id());
-                return Future.succeededFuture();
-            }
-        };
         DaemonCount onlyDaemon = KnownDaemons.only("d");
         RelayBounds bounds = new RelayBounds(4_000, 1, 1, 1, 100, 10_000, 3_000);
         UniformRandomProvider random = RandomSource.SPLIT_MIX_64.create(1);
@@ -123,13 +111,13 @@
         UpstreamRateLimits rateLimits = new UpstreamRateLimits(onlyDaemon);
         availability = new UpstreamAvailability(health, rateLimits);
         PathMonitor paths = new PathMonitor(vertx, ticker, random, this, new ConnectionProbe(vertx));
-        server = limited(new RelayContext(
+        context = new RelayContext(
                 vertx,
                 ticker,
                 random,
                 this,
                 new TestHeaderCodec(),
-                recordingMemory,
+                new RecordingMemory(),
                 bounds,
                 work,
                 new LocalScheduler(vertx, ticker, random, this, health, work, new EngineDivision(onlyDaemon)),
@@ -152,15 +140,12 @@
                 new RetryShare(1, 100, 10_000),
                 onlyDaemon,
                 bodies,
-                new RelayMetrics(meters(registry), bodies)));
+                new RelayMetrics(meters(registry), bodies));
+        server = new CallerServer(context, MAX_CONNECTIONS, new HeldBytes("heads", 10 << 20));
         port = freePort();
         await(server.listen(SocketAddress.inetSocketAddress(port, "127.0.0.1")));
     }
 
-    private static CallerServer limited(RelayContext context) {
-        return new CallerServer(context, MAX_CONNECTIONS, new HeldBytes("heads", 10 << 20));
-    }
-
     private static int freePort() throws IOException {
         try (ServerSocket socket = new ServerSocket(0)) {
             return socket.getLocalPort();
@@ -181,6 +166,10 @@
         return port;
     }
 
+    RelayContext context() {
+        return context;
+    }
+
     CallerServer server() {
         return server;
     }
@@ -308,6 +297,21 @@
                 .findFirst();
     }
 
+    /** Records the commands to engines, which all succeed. */
+    private final class RecordingMemory implements EngineMemoryClient {
+        @Override
+        public Future<Void> reserve(Upstream engine, String id, long tokens, int holdMillis) {
+            memoryCommands.add("reserve " + engine.id() + " " + tokens);
+            return Future.succeededFuture();
+        }
+
+        @Override
+        public Future<Void> release(Upstream engine, String id) {
+            memoryCommands.add("release " + engine.id());
+            return Future.succeededFuture();
+        }
+    }
+
     /** Tells the relay of the other daemons; messages to all of them are dropped. */
     private final class FixedPeers implements PathPeers {
         @Override
