--- a/relay/src/test/java/org/endivehold/relay/serve/InvalidHeadTest.java
+++ b/relay/src/test/java/org/endivehold/relay/serve/InvalidHeadTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.stream.Stream;
 import org.endivehold.relay.serve.ScriptedUpstream.End;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -123,4 +124,18 @@
             }
         }
     }
+
+    @Test
+    void nothingOfAnInvalidHeadGetsIntoAStreamThatIsResumed() throws Exception {
+        String begun = GOOD_STREAM + "id: 2\nda";
+        try (RelayFixture relay = new RelayFixture().replyFromAll(begun, End.RESET)) {
+            relay.replyToLaterRequests("HTTP/1.1 000 \r\n" + STREAM_REST.replace("id: 1", "id: 2"));
+            RawResponse response = relay.send("POST", "/stream/x", "p", HEADERS);
+            assertFalse(response.complete(), response::bytes);
+            assertTrue(response.bytes().contains("good"), response::bytes);
+            assertFalse(response.bytes().contains("evil"), response::bytes);
+            assertEquals(2, relay.arrivals());
+            assertEquals(1, relay.invalidAnswers());
+        }
+    }
 }
