Invalid answers are reported in one place of the relay; the status line is read by a pattern

Cause: three classes of the relay logged and counted an invalid answer in the same two lines, and the reader of heads took the status line apart by numbers of columns. The excerpt of an unknown status showed the number alone. Change: RelayContext.recordInvalidAnswer; patterns for the status line and the length; the excerpt shows the line. A test of the log line and of the upstream's health after an invalid head.

--- a/http/src/main/java/org/endivehold/http/AnswerGuard.java
+++ b/http/src/main/java/org/endivehold/http/AnswerGuard.java
@@ -117,7 +117,7 @@
         };
     }
 
-    /** Returns whether the head that the decoder has read is the one that was passed on, and not bytes of a body. */
+    /** Returns whether the decoder has read the head that was passed on; any other one follows a complete answer. */
     private boolean takeHead() {
         boolean passed = headPassed;
         headPassed = false;
--- a/http/src/main/java/org/endivehold/http/HeadReader.java
+++ b/http/src/main/java/org/endivehold/http/HeadReader.java
@@ -2,6 +2,8 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /**
  * Reads the head of one answer byte by byte and checks it as it arrives.
@@ -16,11 +18,11 @@
     static final int MAX_HEAD_BYTES = 16_384;
 
     private static final int INITIAL_BYTES = 512;
-    private static final String VERSION_START = "HTTP/1.";
-    /** Length of {@code "HTTP/1.1 200 "}. */
-    private static final int STATUS_LINE_START_CHARS = 13;
-    /** Digits of the longest body length that a {@code long} holds in any case. */
-    private static final int MAX_LENGTH_DIGITS = 18;
+    /** Minor version, status, and a reason without control characters but tabs. */
+    private static final Pattern STATUS_LINE =
+            Pattern.compile("HTTP/1\\.([0-9]) ([0-9]{3}) [\\t\\x20-\\x7e\\x80-\\xff]*");
+    /** A body length that a {@code long} holds in any case. */
+    private static final Pattern LENGTH = Pattern.compile("[0-9]{1,18}");
 
     private static final int NO_CONTENT = 204;
     private static final int SWITCHING_PROTOCOLS = 101;
@@ -30,7 +32,7 @@
     private int length;
     private int lineStart;
     private int status;
-    private char minorVersion;
+    private int minorVersion;
     private long contentLength = NO_LENGTH;
     private boolean chunked;
 
@@ -84,23 +86,14 @@
     }
 
     private void readStatusLine(String line) throws InvalidAnswerException {
-        boolean valid = line.length() >= STATUS_LINE_START_CHARS
-                && line.startsWith(VERSION_START)
-                && isDigit(line.charAt(7))
-                && line.charAt(8) == ' '
-                && isDigit(line.charAt(9))
-                && isDigit(line.charAt(10))
-                && isDigit(line.charAt(11))
-                && line.charAt(12) == ' '
-                && !HeadRules.hasControl(line);
-        if (!valid) {
+        Matcher parts = STATUS_LINE.matcher(line);
+        if (!parts.matches()) {
             throw new InvalidAnswerException(HeadPart.STATUS_LINE, line);
         }
-        minorVersion = line.charAt(7);
-        status = Integer.parseInt(line.substring(9, 12));
-        HeadRules.checkStatus(status);
-        if (status == SWITCHING_PROTOCOLS) {
-            // No request asks for another protocol.
+        minorVersion = Integer.parseInt(parts.group(1));
+        status = Integer.parseInt(parts.group(2));
+        // No request asks for another protocol.
+        if (!HeadRules.isStatus(status) || status == SWITCHING_PROTOCOLS) {
             throw new InvalidAnswerException(HeadPart.STATUS, line);
         }
     }
@@ -115,18 +108,14 @@
         HeadRules.checkName(name);
         HeadRules.checkValue(value);
         if (name.equalsIgnoreCase("content-length")) {
-            readContentLength(value.strip());
+            readContentLength(value.trim());
         } else if (name.equalsIgnoreCase("transfer-encoding")) {
-            readTransferEncoding(value.strip());
+            readTransferEncoding(value.trim());
         }
     }
 
     private void readContentLength(String value) throws InvalidAnswerException {
-        boolean valid = contentLength == NO_LENGTH && !value.isEmpty() && value.length() <= MAX_LENGTH_DIGITS;
-        for (int i = 0; valid && i < value.length(); i++) {
-            valid = isDigit(value.charAt(i));
-        }
-        if (!valid) {
+        if (contentLength != NO_LENGTH || !LENGTH.matcher(value).matches()) {
             throw new InvalidAnswerException(HeadPart.BODY_LENGTH, value);
         }
         contentLength = Long.parseLong(value);
@@ -141,7 +130,7 @@
     }
 
     private void checkBodyLength() throws InvalidAnswerException {
-        boolean ambiguous = chunked && (contentLength != NO_LENGTH || minorVersion == '0');
+        boolean ambiguous = chunked && (contentLength != NO_LENGTH || minorVersion == 0);
         boolean bodyless = isInterim() || status == NO_CONTENT;
         if (ambiguous || (bodyless && (chunked || contentLength > 0))) {
             throw new InvalidAnswerException(
@@ -149,8 +138,4 @@
                     "status " + status + ", content-length " + contentLength + ", chunked " + chunked);
         }
     }
-
-    private static boolean isDigit(char c) {
-        return c >= '0' && c <= '9';
-    }
 }
--- a/http/src/main/java/org/endivehold/http/HeadRules.java
+++ b/http/src/main/java/org/endivehold/http/HeadRules.java
@@ -36,21 +36,18 @@
 
     private static void checkFinal(int status, Iterable<Map.Entry<String, String>> fields)
             throws InvalidAnswerException {
-        if (status < FIRST_FINAL_STATUS) {
+        if (status < FIRST_FINAL_STATUS || !isStatus(status)) {
             throw new InvalidAnswerException(HeadPart.STATUS, Integer.toString(status));
         }
-        checkStatus(status);
         for (Map.Entry<String, String> field : fields) {
             checkName(field.getKey());
             checkValue(field.getValue());
         }
     }
 
-    /** Checks that HTTP gives a meaning to a status. */
-    static void checkStatus(int status) throws InvalidAnswerException {
-        if (status < FIRST_STATUS || status > LAST_STATUS) {
-            throw new InvalidAnswerException(HeadPart.STATUS, Integer.toString(status));
-        }
+    /** Returns whether HTTP gives a meaning to a status. */
+    static boolean isStatus(int status) {
+        return status >= FIRST_STATUS && status <= LAST_STATUS;
     }
 
     /** Checks that the name of a field is a token. */
@@ -66,20 +63,15 @@
 
     /** Checks that the value of a field has no control characters but tabs. */
     static void checkValue(String value) throws InvalidAnswerException {
-        if (hasControl(value)) {
-            throw new InvalidAnswerException(HeadPart.FIELD_VALUE, value);
+        for (int i = 0; i < value.length(); i++) {
+            if (isControl(value.charAt(i))) {
+                throw new InvalidAnswerException(HeadPart.FIELD_VALUE, value);
+            }
         }
     }
 
-    /** Returns whether a text has control characters other than tabs. */
-    static boolean hasControl(String text) {
-        for (int i = 0; i < text.length(); i++) {
-            char c = text.charAt(i);
-            if ((c < FIRST_PRINTABLE && c != '\t') || c == DELETE) {
-                return true;
-            }
-        }
-        return false;
+    private static boolean isControl(char c) {
+        return (c < FIRST_PRINTABLE && c != '\t') || c == DELETE;
     }
 
     private static boolean isTokenChar(char c) {
--- a/relay/src/main/java/org/endivehold/relay/serve/Exchange.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/Exchange.java
@@ -150,8 +150,7 @@
         if (violation.isEmpty()) {
             return false;
         }
-        violation.get().event(requestHead.attemptId(), "response").warn(log);
-        context.metrics().invalidAnswer(violation.get());
+        context.recordInvalidAnswer(requestHead.attemptId(), "response", violation.get());
         onCancel.run();
         fail(BAD_GATEWAY, ErrorType.INVALID_ANSWER, 0);
         return true;
--- a/relay/src/main/java/org/endivehold/relay/serve/ForwardedRequest.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/ForwardedRequest.java
@@ -17,7 +17,6 @@
 import org.endivehold.relay.peer.DaemonEntry;
 import org.endivehold.relay.peer.PeerMessage;
 import org.endivehold.relay.peer.PeerStream;
-import org.jboss.logging.Logger;
 
 /**
  * Serves a request by way of another daemon, which reaches the upstreams of its service.
@@ -32,7 +31,6 @@
  * accepts it, and is killed after event 7. {@code a} offers the rest, after event 7, to {@code d}.
  */
 final class ForwardedRequest implements RequestHandler {
-    private static final Logger log = Logger.getLogger(ForwardedRequest.class);
     /** Most daemons to which one request is offered. */
     private static final int MAX_OFFERS = 4;
     /** Time within which an offer has to be answered, in milliseconds. */
@@ -235,8 +233,7 @@
             head = begun;
             return;
         }
-        violation.get().event(exchange.requestHead().attemptId(), daemon.name()).warn(log);
-        context.metrics().invalidAnswer(violation.get());
+        context.recordInvalidAnswer(exchange.requestHead().attemptId(), daemon.name(), violation.get());
         connectionLost("invalid-answer");
     }
 
--- a/relay/src/main/java/org/endivehold/relay/serve/RelayContext.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/RelayContext.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.Set;
 import org.apache.commons.rng.UniformRandomProvider;
+import org.endivehold.http.InvalidAnswerException;
 import org.endivehold.misc.Ticker;
 import org.endivehold.relay.limit.ColdLimit;
 import org.endivehold.relay.limit.DaemonCount;
@@ -19,6 +20,7 @@
 import org.endivehold.relay.schedule.JobReplicator;
 import org.endivehold.relay.state.FleetView;
 import org.endivehold.relay.state.Upstream;
+import org.jboss.logging.Logger;
 
 /**
  * Components and settings that the request handlers share.
@@ -65,6 +67,8 @@
         DaemonCount daemons,
         HeldBodies bodies,
         RelayMetrics metrics) {
+    private static final Logger log = Logger.getLogger(RelayContext.class);
+
     double now() {
         return ticker.millis();
     }
@@ -90,6 +94,12 @@
         }
     }
 
+    /** Logs and counts an answer that is none; {@code source} is what sent it. */
+    void recordInvalidAnswer(String request, String source, InvalidAnswerException invalid) {
+        invalid.event(request, source).warn(log);
+        metrics.invalidAnswer(invalid);
+    }
+
     /** Returns the ids of a service's cold upstreams to which this daemon may send one more request now. */
     Set<String> coldUpstreamsWithCapacity(RelayService service) {
         Set<String> allowed = new HashSet<>();
--- a/relay/src/main/java/org/endivehold/relay/serve/UpstreamClient.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/UpstreamClient.java
@@ -14,7 +14,6 @@
 import org.endivehold.misc.Ticker;
 import org.endivehold.relay.path.PathMonitor;
 import org.endivehold.relay.state.Upstream;
-import org.jboss.logging.Logger;
 
 /**
  * HTTP client for requests to upstreams.
@@ -33,23 +32,21 @@
     /** Most open connections to one upstream: more than its slots can use, so that no request waits for one. */
     private static final int MAX_CONNECTIONS = 2_000;
 
-    private static final Logger log = Logger.getLogger(UpstreamClient.class);
-
+    private final RelayContext context;
     private final Vertx vertx;
     private final HttpClient client;
     private final Dialect headerCodec;
     private final Ticker ticker;
     private final UpstreamTrafficListener trafficListener;
     private final PathMonitor paths;
-    private final RelayMetrics metrics;
 
     UpstreamClient(RelayContext context) {
+        this.context = context;
         this.vertx = context.vertx();
         this.ticker = context.ticker();
         this.headerCodec = context.headerCodec();
         this.trafficListener = context.trafficListener();
         this.paths = context.paths();
-        this.metrics = context.metrics();
         client = HttpClients.create(
                 context.vertx(),
                 new HttpClientOptions()
@@ -99,7 +96,6 @@
 
     private void reportInvalid(InvalidAnswerException invalid, OutgoingRequest outgoing, Upstream upstream) {
         String request = headerCodec.parseRequest(outgoing.headers()).attemptId();
-        invalid.event(request, upstream.id()).warn(log);
-        metrics.invalidAnswer(invalid);
+        context.recordInvalidAnswer(request, upstream.id(), invalid);
     }
 }
--- a/relay/src/test/java/org/endivehold/relay/serve/InvalidHeadTest.java
+++ b/relay/src/test/java/org/endivehold/relay/serve/InvalidHeadTest.java
@@ -6,6 +6,10 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
 import java.util.stream.Stream;
 import org.endivehold.relay.serve.ScriptedUpstream.End;
 import org.junit.jupiter.api.Test;
@@ -138,4 +142,45 @@
             assertEquals(1, relay.invalidAnswers());
         }
     }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"/unsafe/x", "/once/x"})
+    void theAttemptCountsAgainstTheUpstreamAndIsLogged(String path) throws Exception {
+        List<String> lines = new CopyOnWriteArrayList<>();
+        Handler handler = new LineHandler(lines);
+        Logger logger = Logger.getLogger(RelayContext.class.getName());
+        logger.addHandler(handler);
+        try (RelayFixture relay = new RelayFixture().replyFromAll("HTTP/1.1 000 \r\n" + PLAIN_REST, End.FIN)) {
+            relay.send("POST", path, "p", HEADERS);
+            String service = isPlain(path) ? "plain" : "engines";
+            List<ScriptedUpstream> upstreams = isPlain(path) ? relay.plainUpstreams : relay.engines;
+            String asked = service + "-" + (upstreams.get(0).requests().isEmpty() ? 1 : 0);
+            assertTrue(relay.context().health().ejected(asked, relay.context().now()));
+            String expected =
+                    "event=invalid-answer request=a upstream=" + asked + " part=status bytes=\"HTTP/1.1 000 \"";
+            assertEquals(List.of(expected), lines);
+        } finally {
+            logger.removeHandler(handler);
+        }
+    }
+
+    /** Keeps the text of each line. */
+    private static final class LineHandler extends Handler {
+        private final List<String> lines;
+
+        LineHandler(List<String> lines) {
+            this.lines = lines;
+        }
+
+        @Override
+        public void publish(LogRecord line) {
+            lines.add(line.getMessage());
+        }
+
+        @Override
+        public void flush() {}
+
+        @Override
+        public void close() {}
+    }
 }
