--- a/daemon/src/main/java/org/endivehold/daemon/entry/WarmUp.java
+++ b/daemon/src/main/java/org/endivehold/daemon/entry/WarmUp.java
@@ -3,6 +3,8 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.PoolOptions;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -16,6 +18,7 @@
 import org.endivehold.adapter.PlatformStoreClient;
 import org.endivehold.adapter.StoreEntries;
 import org.endivehold.error.EndiveholdException;
+import org.endivehold.http.HttpClients;
 import org.endivehold.misc.Ticker;
 import org.endivehold.relay.RelaySettings;
 
@@ -39,7 +42,7 @@
     private static final long TIMEOUT_SECONDS = 20;
 
     private final Vertx vertx = EntryDaemon.createVertx();
-    private final HttpClient client = vertx.createHttpClient();
+    private final HttpClient client = HttpClients.create(vertx, new HttpClientOptions(), new PoolOptions());
     private final LoopbackPlatform platform = new LoopbackPlatform(vertx);
 
     private WarmUp() {}
--- a/daemon/src/main/java/org/endivehold/daemon/upstream/InvalidAnswers.java
+++ b/daemon/src/main/java/org/endivehold/daemon/upstream/InvalidAnswers.java
@@ -4,7 +4,7 @@
 import org.endivehold.http.InvalidAnswerException;
 import org.jboss.logging.Logger;
 
-/** Logs and counts attempts that failed since the answer of the upstream was invalid. */
+/** Logs and counts attempts that failed because the answer of the upstream was invalid. */
 public final class InvalidAnswers {
     private static final Logger log = Logger.getLogger(InvalidAnswers.class);
 
--- a/http/src/main/java/org/endivehold/http/InvalidAnswerException.java
+++ b/http/src/main/java/org/endivehold/http/InvalidAnswerException.java
@@ -22,13 +22,9 @@
      * @param text what was received as this part, one character for each byte
      */
     public InvalidAnswerException(HeadPart part, String text) {
-        this(escaped(text), part);
-    }
-
-    private InvalidAnswerException(String excerpt, HeadPart part) {
-        super(RunOutcome.UNKNOWN, ErrorType.INVALID_ANSWER, part.label(), excerpt);
+        super(RunOutcome.UNKNOWN, ErrorType.INVALID_ANSWER, part.label(), escaped(text));
         this.part = part;
-        this.excerpt = excerpt;
+        this.excerpt = escaped(text);
     }
 
     /**
@@ -68,7 +64,7 @@
     /**
      * Returns the log event that reports this failure.
      *
-     * @param request id of the request that was answered; null if it has none
+     * @param request id of the request that was answered, or what else tells which call it was; null if nothing does
      * @param upstream what sent the answer
      * @return an event without a level yet
      */
