A failure with an impossible status that another daemon reports is none

What callers saw: nothing was reported; the read-through found that the status of a failure from another daemon was written to callers as it came. Cause: only heads of responses were checked, not failures. Change: ForwardedRequest checks both in one place; such a failure counts as an attempt lost at that daemon. Measured: 3 of 3 new cases of ForwardedHeadTest failed before, none of 79 now.

--- a/relay/src/main/java/org/endivehold/relay/serve/ForwardedRequest.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/ForwardedRequest.java
@@ -226,15 +226,25 @@
         }
     }
 
-    /** Takes the head of the response, unless it is invalid: an older version passes on whatever an upstream sends. */
     private void headReceived(PeerMessage.ForwardedHead begun) {
-        Optional<InvalidAnswerException> violation = HeadRules.violation(begun.status(), multiMap(begun.headers()));
-        if (violation.isEmpty()) {
+        if (!leaveIfInvalid(begun.status(), begun.headers())) {
             head = begun;
-            return;
         }
-        context.recordInvalidAnswer(exchange.requestHead().attemptId(), daemon.name(), violation.get());
-        connectionLost("invalid-answer");
+    }
+
+    /**
+     * Counts the request as lost at the other daemon if the head that came from there is invalid: an older version
+     * passes on whatever an upstream sends.
+     *
+     * @return whether it is invalid
+     */
+    private boolean leaveIfInvalid(int status, List<PeerMessage.Header> headers) {
+        Optional<InvalidAnswerException> violation = HeadRules.violation(status, multiMap(headers));
+        violation.ifPresent(invalid -> {
+            context.recordInvalidAnswer(exchange.requestHead().attemptId(), daemon.name(), invalid);
+            connectionLost("invalid-answer");
+        });
+        return violation.isPresent();
     }
 
     private void sendRequest() {
@@ -363,6 +373,9 @@
 
     /** The other daemon gave up: if the request did not run there for a reason of its own, another one is asked. */
     private void failed(PeerMessage.ForwardedFailure failure) {
+        if (leaveIfInvalid(failure.status(), List.of())) {
+            return;
+        }
         held.empty();
         leaveDaemon();
         context.metrics().forwarded(failure.type().label());
--- a/relay/src/test/java/org/endivehold/relay/peer/ScriptedNeighbour.java
+++ b/relay/src/test/java/org/endivehold/relay/peer/ScriptedNeighbour.java
@@ -1,7 +1,6 @@
 package org.endivehold.relay.peer;
 
 import io.vertx.core.Vertx;
-import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetSocket;
 import java.util.List;
@@ -18,10 +17,10 @@
     private volatile Runnable onRequest = () -> {};
     private final AtomicInteger requests = new AtomicInteger();
 
-    /** Starts a neighbour whose answers have a head and a body, and are complete. */
-    public ScriptedNeighbour(Vertx vertx, String name, PeerMessage.ForwardedHead head, String body) throws Exception {
+    /** Starts a neighbour whose answers consist of some messages. */
+    public ScriptedNeighbour(Vertx vertx, String name, PeerMessage... answer) throws Exception {
         this.name = name;
-        answer = List.of(head, new PeerMessage.ForwardedBytes(Buffer.buffer(body)), new PeerMessage.ForwardedEnd());
+        this.answer = List.of(answer);
         server = vertx.createNetServer().connectHandler(this::connected);
         server.listen(0, "127.0.0.1").toCompletionStage().toCompletableFuture().get(LIMIT_SECONDS, TimeUnit.SECONDS);
     }
--- a/relay/src/test/java/org/endivehold/relay/serve/ForwardedHeadTest.java
+++ b/relay/src/test/java/org/endivehold/relay/serve/ForwardedHeadTest.java
@@ -4,15 +4,18 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.vertx.core.buffer.Buffer;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.Stream;
+import org.endivehold.error.ErrorType;
 import org.endivehold.relay.peer.PeerMessage;
 import org.endivehold.relay.peer.PeerMessage.Header;
 import org.endivehold.relay.peer.ScriptedNeighbour;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Guards against answers that come by way of another daemon, whose version may still pass on an invalid head of an
@@ -55,15 +58,21 @@
             RelayFixture relay, String name, String path, int status, Header header, String text) throws Exception {
         PeerMessage.ForwardedHead head =
                 new PeerMessage.ForwardedHead(status, !isPlain(path), List.of(SEAL, ATTEMPT, header));
-        return new ScriptedNeighbour(relay.vertx(), name, head, body(path, text));
+        PeerMessage body = new PeerMessage.ForwardedBytes(Buffer.buffer(body(path, text)));
+        return new ScriptedNeighbour(relay.vertx(), name, head, body, new PeerMessage.ForwardedEnd());
+    }
+
+    private static RelayFixture cutOffRelay() throws Exception {
+        RelayFixture relay = new RelayFixture();
+        relay.closeAllUpstreams();
+        relay.send("GET", "/safe/x", "", "attempt: before", "remaining: 1200");
+        return relay;
     }
 
     @ParameterizedTest(name = "{0}, {1}, {index}")
     @MethodSource("cases")
     void anInvalidHeadIsALostAttempt(String path, int status, Header header) throws Exception {
-        try (RelayFixture relay = new RelayFixture()) {
-            relay.closeAllUpstreams();
-            relay.send("GET", "/safe/x", "", "attempt: before", "remaining: 1200");
+        try (RelayFixture relay = cutOffRelay()) {
             ScriptedNeighbour broken = neighbour(relay, "broken", path, status, header, "evil");
             ScriptedNeighbour sound = neighbour(relay, "sound", path, 200, new Header("x", "1"), "good");
             relay.neighbours.add(broken.entry());
@@ -78,4 +87,18 @@
             assertEquals(1, relay.invalidAnswers());
         }
     }
+
+    @ParameterizedTest
+    @ValueSource(ints = {0, 102, 600})
+    void aFailureWithAnInvalidStatusIsALostAttempt(int status) throws Exception {
+        try (RelayFixture relay = cutOffRelay()) {
+            ScriptedNeighbour broken = new ScriptedNeighbour(
+                    relay.vertx(), "broken", new PeerMessage.ForwardedFailure(status, ErrorType.UPSTREAM_BROKEN, 0));
+            relay.neighbours.add(broken.entry());
+            RawResponse response = relay.send("POST", "/unsafe/x", "p", HEADERS);
+            assertEquals(502, response.status(), response::bytes);
+            assertEquals(1, broken.requests());
+            assertEquals(1, relay.invalidAnswers());
+        }
+    }
 }
