--- a/relay/src/main/java/org/endivehold/relay/peer/PeerStream.java
+++ b/relay/src/main/java/org/endivehold/relay/peer/PeerStream.java
@@ -31,7 +31,7 @@
     PeerStream(NetSocket socket) {
         this.socket = socket;
         socket.setWriteQueueMaxSize(WRITE_QUEUE_BYTES);
-        socket.handler(new FrameReader(message -> receiver.accept(message), this::fault));
+        socket.handler(new FrameReader(this::receive, this::fault));
         socket.closeHandler(gone -> closed());
         socket.exceptionHandler(failure -> socket.close());
     }
@@ -97,6 +97,15 @@
         socket.drainHandler(drained -> action.run());
     }
 
+    /** Hands on a message. If that throws, the request cannot go on, so the other side is told by the end. */
+    private void receive(PeerMessage message) {
+        try {
+            receiver.accept(message);
+        } catch (RuntimeException e) {
+            fault("not handled: " + e);
+        }
+    }
+
     private void closed() {
         closed = true;
         onClosed.run();
--- a/relay/src/main/java/org/endivehold/relay/serve/CallerServer.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/CallerServer.java
@@ -75,7 +75,7 @@
                         .setHttp2ClearTextEnabled(false)
                         .setReceiveBufferSize(RECEIVE_BUFFER_BYTES)
                         .setHandle100ContinueAutomatically(true));
-        server.requestHandler(this::receive);
+        server.requestHandler(this::receiveGuarded);
         server.connectionHandler(this::trackConnection);
     }
 
@@ -154,6 +154,19 @@
         connection.closeHandler(closed -> requestsByConnection.remove(connection));
     }
 
+    /** Receives a request; if that throws, nothing would answer it any more, so its connection is closed. */
+    private void receiveGuarded(HttpServerRequest request) {
+        try {
+            receive(request);
+        } catch (RuntimeException e) {
+            LogEvent.of("request-not-received")
+                    .with("address", request.remoteAddress())
+                    .with("reason", e)
+                    .warn(log);
+            request.connection().close();
+        }
+    }
+
     private void receive(HttpServerRequest request) {
         CallerRequestHead requestHead = context.headerCodec().parseRequest(request.headers());
         HttpConnection connection = request.connection();
@@ -175,7 +188,8 @@
                 request,
                 exchange,
                 limits().bodyBytes(),
-                bytes -> whenFleetKnown(exchange, MAX_FLEET_POLLS, () -> route(exchange, request, bytes)));
+                bytes -> whenFleetKnown(
+                        exchange, MAX_FLEET_POLLS, () -> exchange.runGuarded(() -> route(exchange, request, bytes))));
     }
 
     /** Refuses a request if this daemon takes no more; returns whether it does not. */
--- a/relay/src/main/java/org/endivehold/relay/serve/Exchange.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/Exchange.java
@@ -4,6 +4,7 @@
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import java.util.Optional;
+import java.util.function.Supplier;
 import org.endivehold.error.ErrorType;
 import org.endivehold.http.HeadRules;
 import org.endivehold.http.InvalidAnswerException;
@@ -17,11 +18,33 @@
  *
  * <p>The response ends at the latest at the route's timeout or shortly before the caller's own deadline, whichever is
  * earlier. It is ended once; later calls that write have no effect.
+ *
+ * <p>The order of a response is kept here, so that no handler has to check it. A call that does not fit the state of
+ * the response ends it as failed, and never as a success:
+ *
+ * <ul>
+ *   <li>{@link #respond} after the head of a stream: an upstream's whole answer cannot follow, so the stream is broken
+ *       off.
+ *   <li>{@link #completeStream} before any head: no upstream has answered, so the response is a failure.
+ * </ul>
+ *
+ * <p>A request that counts as ended has no timeout any more, so its last write must not get lost: if it throws, the
+ * connection is closed.
  */
 final class Exchange implements EventFlow.Sink {
     /** Margin before the caller's deadline for the response to reach the caller, in milliseconds. */
     private static final long RESPONSE_MARGIN_MILLIS = 30;
 
+    /** How far the response has come. */
+    private enum State {
+        /** Nothing has been sent. */
+        NO_HEAD,
+        /** The head of a stream has been sent, and maybe events. */
+        STREAMING,
+        /** The response is complete or has failed, or the caller has gone. */
+        ENDED
+    }
+
     /** Status of a request that may have run. */
     private static final int BAD_GATEWAY = 502;
 
@@ -37,10 +60,9 @@
     private Optional<Customer> customer = Optional.empty();
     private Runnable onCancel = () -> {};
     private long deadlineTimer = -1;
-    private boolean responseBegun;
+    private State state = State.NO_HEAD;
     private int streamStatus;
     private Buffer unwritten = Buffer.buffer();
-    private boolean ended;
     private double firstEventMillis = -1;
     private double lastEventMillis;
     private double longestGapMillis;
@@ -59,7 +81,7 @@
         route = admittedRoute;
         customer = requestCustomer;
         onCancel = cancelAction;
-        if (!ended) {
+        if (!ended()) {
             deadlineTimer = context.vertx().setTimer(Math.max(1, remainingMillis()), timer -> timedOut());
         }
     }
@@ -77,11 +99,12 @@
     }
 
     boolean ended() {
-        return ended;
+        return state == State.ENDED;
     }
 
+    /** Returns whether the head of a stream has been sent, and its end has not. */
     boolean responseBegun() {
-        return responseBegun;
+        return state == State.STREAMING;
     }
 
     double elapsedMillis() {
@@ -111,17 +134,34 @@
     }
 
     /**
-     * Sends an upstream's response to the caller, without hop-by-hop headers.
+     * Runs a step of serving the request. If it throws, the request fails at once: an exception that only reaches the
+     * event loop would leave the caller without an answer.
+     */
+    void runGuarded(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException e) {
+            reportFault("serve", e);
+            cancelHandler();
+            fail(BAD_GATEWAY, ErrorType.INTERNAL, 0);
+        }
+    }
+
+    /**
+     * Sends an upstream's response to the caller, without hop-by-hop headers. A stream that has begun is broken off
+     * instead.
      *
      * @return completes when the response has been written, or will not be
      */
     Future<Void> respond(int status, MultiMap headers, Buffer body) {
-        if (ended || failIfInvalid(status, headers)) {
+        if (responseBegun()) {
+            addStep("answer-after-head:" + status);
+            fail(BAD_GATEWAY, ErrorType.UPSTREAM_BROKEN, 0);
+        }
+        if (ended() || failIfInvalid(status, headers)) {
             return Future.succeededFuture();
         }
-        responseBegun = true;
-        finish(status, "answered");
-        return channel.respond(status, headers, body);
+        return end(status, "answered", () -> channel.respond(status, headers, body));
     }
 
     /** Ends the connection of a caller who does not read the response that was sent. */
@@ -131,10 +171,10 @@
 
     /** Writes the head of a streamed response; does nothing if it was written before. */
     void beginStream(int status, MultiMap headers) {
-        if (ended || responseBegun || failIfInvalid(status, headers)) {
+        if (state != State.NO_HEAD || failIfInvalid(status, headers)) {
             return;
         }
-        responseBegun = true;
+        state = State.STREAMING;
         streamStatus = status;
         channel.beginStream(status, headers);
     }
@@ -151,14 +191,14 @@
             return false;
         }
         context.recordInvalidAnswer(requestHead.attemptId(), "response", violation.get());
-        onCancel.run();
+        cancelHandler();
         fail(BAD_GATEWAY, ErrorType.INVALID_ANSWER, 0);
         return true;
     }
 
     /** Adds an event to those that {@link #flushEvents} writes. */
     void writeEvent(Buffer bytes) {
-        if (ended) {
+        if (ended()) {
             return;
         }
         if (firstEventMillis < 0) {
@@ -173,25 +213,38 @@
 
     @Override
     public void flushEvents() {
-        if (!ended && unwritten.length() > 0) {
+        if (!ended()) {
+            writePending();
+        }
+    }
+
+    private void writePending() {
+        if (unwritten.length() > 0) {
             channel.writeEvents(unwritten);
             unwritten = Buffer.buffer();
         }
     }
 
     /**
-     * Ends the stream as complete.
+     * Ends the stream as complete; fails if no head has been sent, since a success is always an upstream's.
      *
      * @param rest bytes of the upstream after its last event, which are no event
      */
     void completeStream(Buffer rest) {
-        if (ended) {
+        if (ended()) {
+            return;
+        }
+        if (!responseBegun()) {
+            addStep("end-before-head");
+            fail(BAD_GATEWAY, ErrorType.UPSTREAM_BROKEN, 0);
             return;
         }
         unwritten.appendBuffer(rest);
-        flushEvents();
-        finish(streamStatus, "complete");
-        channel.endStream();
+        end(streamStatus, "complete", () -> {
+            writePending();
+            channel.endStream();
+            return Future.succeededFuture();
+        });
     }
 
     /** Responds with status 503: the request has not run and will not run, so that the caller may retry it. */
@@ -204,18 +257,48 @@
      * complete.
      */
     void fail(int status, ErrorType type, double retryAfterMillis) {
-        if (ended) {
+        if (ended()) {
             return;
         }
-        flushEvents();
-        finish(status, type.label());
-        if (responseBegun) {
+        boolean begun = responseBegun();
+        end(status, type.label(), () -> {
+            if (begun) {
+                writePending();
+                channel.breakOff();
+            } else {
+                channel.fail(status, type, retryAfterMillis);
+            }
+            return Future.succeededFuture();
+        });
+    }
+
+    /**
+     * Ends the exchange with the last write of its response. If either throws, the connection is closed: nothing else
+     * would end it any more.
+     *
+     * @return completes when the response has been written, or will not be
+     */
+    private Future<Void> end(int status, String outcome, Supplier<Future<Void>> lastWrite) {
+        state = State.ENDED;
+        try {
+            finish(status, outcome);
+            return lastWrite.get();
+        } catch (RuntimeException e) {
+            reportFault("end", e);
             channel.breakOff();
-        } else {
-            channel.fail(status, type, retryAfterMillis);
+            return Future.succeededFuture();
         }
     }
 
+    private void reportFault(String stage, RuntimeException fault) {
+        LogEvent.of("request-fault")
+                .with("request", requestHead.attemptId())
+                .with("stage", stage)
+                .with("reason", fault)
+                .with("at", fault.getStackTrace().length == 0 ? "-" : fault.getStackTrace()[0])
+                .warn(log);
+    }
+
     @Override
     public boolean isCongested() {
         return channel.isFull();
@@ -227,24 +310,32 @@
     }
 
     private void timedOut() {
-        if (ended) {
+        if (ended()) {
             return;
         }
         addStep("timeout");
-        onCancel.run();
+        cancelHandler();
         fail(504, ErrorType.DEADLINE_EXCEEDED, 0);
     }
 
     private void callerGone() {
-        if (ended) {
+        if (ended()) {
             return;
         }
-        finish(0, "caller-gone");
-        onCancel.run();
+        end(0, "caller-gone", Future::succeededFuture);
+        cancelHandler();
+    }
+
+    /** Stops the handler; if that throws, the response ends nevertheless. */
+    private void cancelHandler() {
+        try {
+            onCancel.run();
+        } catch (RuntimeException e) {
+            reportFault("cancel", e);
+        }
     }
 
     private void finish(int status, String outcome) {
-        ended = true;
         if (deadlineTimer >= 0) {
             context.vertx().cancelTimer(deadlineTimer);
         }
--- a/relay/src/main/java/org/endivehold/relay/serve/ForwardReceiver.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/ForwardReceiver.java
@@ -159,7 +159,8 @@
                     new UpstreamClient.OutgoingRequest(HttpMethod.valueOf(head.method()), head.uri(), headers, body));
             RequestProgress progress =
                     new RequestProgress(head.sends(), head.possibleRuns(), head.resumeAfter(), head.counted());
-            dispatcher.dispatchForwarded(exchange, request, head.customer(), head.service(), progress);
+            exchange.runGuarded(
+                    () -> dispatcher.dispatchForwarded(exchange, request, head.customer(), head.service(), progress));
         }
     }
 }
--- a/relay/src/main/java/org/endivehold/relay/serve/PlainRequestHandler.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/PlainRequestHandler.java
@@ -153,7 +153,7 @@
                     Math.max(MIN_ATTEMPT_TIMEOUT_MILLIS, (long) (exchange.remainingMillis() * ATTEMPT_TIMEOUT_SHARE));
             attemptTimer = context.vertx().setTimer(timeoutMillis, timer -> attemptTimedOut());
         }
-        attempt = client.send(outgoing, upstream, call, this);
+        attempt = client.send(outgoing, upstream, call, new GuardedListener(exchange, this));
     }
 
     private Optional<Upstream> choose() {
--- a/relay/src/main/java/org/endivehold/relay/serve/StreamAttempt.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/StreamAttempt.java
@@ -228,7 +228,7 @@
                 exchange.customer().map(Customer::name),
                 helpers,
                 resumeAfter);
-        upstreamAttempt = client.send(outgoing, decodeEngine, values, this);
+        upstreamAttempt = client.send(outgoing, decodeEngine, values, new GuardedListener(exchange, this));
     }
 
     private String helperAddress(Upstream helper) {
--- a/relay/src/test/java/org/endivehold/relay/serve/InvalidResponseTest.java
+++ b/relay/src/test/java/org/endivehold/relay/serve/InvalidResponseTest.java
@@ -2,16 +2,13 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import org.endivehold.error.ErrorType;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -22,53 +19,6 @@
 class InvalidResponseTest {
     private static final int LIMIT_SECONDS = 10;
 
-    /** Records what would be written. */
-    private static final class RecordingChannel implements ResponseChannel {
-        private final List<String> written = new ArrayList<>();
-
-        @Override
-        public void onClosed(Runnable action) {}
-
-        @Override
-        public Future<Void> respond(int status, MultiMap headers, Buffer body) {
-            written.add("response " + status);
-            return Future.succeededFuture();
-        }
-
-        @Override
-        public void beginStream(int status, MultiMap headers) {
-            written.add("stream " + status);
-        }
-
-        @Override
-        public void writeEvents(Buffer events) {
-            written.add("events");
-        }
-
-        @Override
-        public void endStream() {
-            written.add("end");
-        }
-
-        @Override
-        public void breakOff() {
-            written.add("broken off");
-        }
-
-        @Override
-        public void fail(int status, ErrorType type, double retryAfterMillis) {
-            written.add("failure " + status + " " + type.label());
-        }
-
-        @Override
-        public boolean isFull() {
-            return false;
-        }
-
-        @Override
-        public void onDrained(Runnable action) {}
-    }
-
     private static MultiMap headers(String name, String value) {
         return MultiMap.caseInsensitiveMultiMap().add(name, value);
     }
