--- a/relay/src/main/java/org/endivehold/relay/serve/ForwardedRequest.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/ForwardedRequest.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import org.endivehold.error.ErrorType;
 import org.endivehold.http.HeadRules;
@@ -49,7 +48,7 @@
     private final String service;
     private final Runnable fallback;
     private final Set<String> asked = new HashSet<>();
-    private final EventSequence sequence;
+    private final CallerStream stream;
     private final HeldBytes.Share held;
     private final int sends;
     private boolean counted;
@@ -57,12 +56,12 @@
     private int possibleRuns;
     private int offers;
     private DaemonEntry daemon;
-    private PeerStream stream;
+    private PeerStream connection;
     private boolean accepted;
-    private PeerMessage.ForwardedHead head;
+    private CallerStream.Head head;
     private Buffer body = Buffer.buffer();
     private StreamSource source;
-    private EventFlow flow;
+    private StreamedAnswer answer;
     private long timer = -1;
     private boolean ended;
     private boolean responseSent;
@@ -92,7 +91,7 @@
         this.request = request;
         this.service = service;
         this.fallback = fallback;
-        this.sequence = new EventSequence(progress.lastEventId());
+        this.stream = new CallerStream(exchange, progress.lastEventId());
         this.counted = progress.counted();
         this.sends = progress.sends();
         this.possibleRuns = progress.possibleRuns();
@@ -167,17 +166,17 @@
             opened.close();
             return;
         }
-        stream = opened;
+        connection = opened;
         opened.send(new PeerMessage.ForwardOffer(context.neighbours().self().name(), service, context.tableVersion()));
         restartTimer(ANSWER_TIMEOUT_MILLIS);
         opened.handle(
                 message -> {
-                    if (opened == stream) {
+                    if (opened == connection) {
                         received(message);
                     }
                 },
                 () -> {
-                    if (opened == stream) {
+                    if (opened == connection) {
                         connectionLost("closed");
                     }
                 });
@@ -220,15 +219,28 @@
             bytes(part.bytes());
         } else if (message instanceof PeerMessage.ForwardedEnd && head != null) {
             stopTimer();
-            flow.whenDrained(this::complete);
+            endReceived();
         } else if (message instanceof PeerMessage.ForwardedFailure failure) {
             failed(failure);
         }
     }
 
     private void headReceived(PeerMessage.ForwardedHead begun) {
-        if (!leaveIfInvalid(begun.status(), begun.headers())) {
-            head = begun;
+        if (head != null) {
+            connectionLost("second-head");
+        } else if (!leaveIfInvalid(begun.status(), begun.headers())) {
+            head = new CallerStream.Head(begun.status(), multiMap(begun.headers()));
+            answer = begun.stream()
+                    ? new StreamedAnswer(context, exchange, stream, head, source, new StreamOutcome())
+                    : null;
+        }
+    }
+
+    private void endReceived() {
+        if (answer == null) {
+            complete();
+        } else {
+            answer.sourceEnded();
         }
     }
 
@@ -252,12 +264,12 @@
         restartTimer(SILENCE_MILLIS);
         head = null;
         body = Buffer.buffer();
-        source = new StreamSource(stream);
-        flow = new EventFlow(context.vertx(), context.ticker(), exchange, source, new StreamEvents());
-        sequence.beginAttempt(exchange.responseBegun());
+        source = new StreamSource(connection);
+        answer = null;
+        stream.beginAttempt();
         exchange.addStep("forwarded:" + daemon.name() + ":at=" + Math.round(exchange.elapsedMillis()));
         UpstreamClient.OutgoingRequest outgoing = request.outgoing();
-        stream.send(new PeerMessage.ForwardedRequest(
+        connection.send(new PeerMessage.ForwardedRequest(
                 service,
                 outgoing.method().name(),
                 outgoing.uri(),
@@ -266,11 +278,11 @@
                 outgoing.body().length(),
                 exchange.customer(),
                 Math.max(1, exchange.remainingMillis()),
-                sequence.lastId(),
+                stream.lastEventId(),
                 sends,
                 possibleRuns,
                 counted));
-        stream.sendBytes(outgoing.body());
+        connection.sendBytes(outgoing.body());
         counted = true;
         sentOnce = true;
     }
@@ -284,8 +296,8 @@
     }
 
     private void bytes(Buffer part) {
-        if (head.stream()) {
-            flow.feed(part);
+        if (answer != null) {
+            answer.feed(part);
             return;
         }
         body.appendBuffer(part);
@@ -315,34 +327,21 @@
         public void resume() {
             paused = false;
             read.resume();
-            if (read == stream && !ended) {
+            if (read == connection && !ended) {
                 restartTimer(SILENCE_MILLIS);
             }
         }
     }
 
-    private final class StreamEvents implements EventFlow.Listener {
+    private final class StreamOutcome implements StreamedAnswer.Listener {
         @Override
-        public void event(OptionalLong id, Buffer bytes) {
-            ForwardedRequest.this.event(id, bytes);
+        public void streamWhole() {
+            answered();
         }
 
         @Override
-        public void oversized() {
-            connectionLost("oversized");
-        }
-    }
-
-    private void event(OptionalLong id, Buffer event) {
-        if (ended || exchange.ended()) {
-            return;
-        }
-        EventSequence.Verdict verdict = sequence.next(id);
-        if (verdict == EventSequence.Verdict.GAP) {
-            connectionLost("gap");
-        } else if (verdict == EventSequence.Verdict.PASS) {
-            exchange.beginStream(head.status(), multiMap(head.headers()));
-            exchange.writeEvent(event);
+        public void streamBroken(String cause) {
+            connectionLost(cause);
         }
     }
 
@@ -352,23 +351,24 @@
         return map;
     }
 
+    /** Passes on an answer that is no stream. */
     private void complete() {
         if (ended) {
             return;
         }
-        if (head.stream() && (flow.hasPartialEvent() || sequence.isPositionUnconfirmed())) {
-            connectionLost(flow.hasPartialEvent() ? "partial" : "not-resumed");
+        if (EventStreams.isBrokenOff(exchange.route(), head, body)) {
+            connectionLost(CallerStream.Fault.PARTIAL.label());
             return;
         }
+        answered();
+        responseSent = true;
+        exchange.respond(head.status(), head.headers(), body).onComplete(sent -> held.close());
+    }
+
+    private void answered() {
         ended = true;
         leaveDaemon();
         context.metrics().forwarded("answered");
-        if (head.stream()) {
-            exchange.completeStream(flow.rest());
-        } else {
-            responseSent = true;
-            exchange.respond(head.status(), multiMap(head.headers()), body).onComplete(sent -> held.close());
-        }
     }
 
     /** The other daemon gave up: if the request did not run there for a reason of its own, another one is asked. */
@@ -413,9 +413,8 @@
         context.metrics().forwarded("lost");
         context.neighbours().declined(daemon.name());
         leaveDaemon();
-        boolean positionKnown = !exchange.responseBegun() || sequence.lastId().isPresent();
         boolean mayRunAgain = exchange.route().idempotent()
-                && positionKnown
+                && stream.isPositionKnown()
                 && possibleRuns + 1 < exchange.route().maxAttempts()
                 && context.retryShare().tryTake(service, context.daemons().divisor(), context.now());
         possibleRuns++;
@@ -434,13 +433,13 @@
             context.neighbours().ended(daemon.name());
             daemon = null;
         }
-        if (stream != null) {
-            PeerStream left = stream;
-            stream = null;
+        if (connection != null) {
+            PeerStream left = connection;
+            connection = null;
             left.close();
         }
-        if (flow != null) {
-            flow.stop();
+        if (answer != null) {
+            answer.stop();
         }
         accepted = false;
     }
--- a/relay/src/main/java/org/endivehold/relay/serve/PlainRequestHandler.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/PlainRequestHandler.java
@@ -20,7 +20,8 @@
 
 /**
  * Serves a request of a plain service: sends it to the upstream with the best load score, and retries it at another
- * upstream if the first did not run it or the request is idempotent.
+ * upstream if the first did not run it or the request is idempotent. The events of a stream are passed on as they
+ * arrive; any other answer is passed on as a whole.
  */
 final class PlainRequestHandler implements RequestHandler, UpstreamAttempt.Listener {
     /** Most sends of one request, including those that did not run. */
@@ -43,12 +44,14 @@
     private final int priorRuns;
     private final CrashGuard guard;
     private final HeldBytes.Share held;
+    private final CallerStream stream;
     private final Set<String> tried = new HashSet<>();
     private UpstreamAttempt attempt;
     private Upstream upstream;
     private AnswerFacts responseHead;
     private MultiMap responseHeaders;
     private Buffer responseBody;
+    private StreamedAnswer streamedAnswer;
     private double sentAt;
     private int sends;
     /** Upstreams that may have run it, sent by this daemon. */
@@ -79,6 +82,7 @@
         this.service = service;
         this.guard = new CrashGuard(context.crashes(), exchange, outgoing);
         this.held = context.bodies().responses().open(this::evicted);
+        this.stream = new CallerStream(exchange, progress.lastEventId());
     }
 
     @Override
@@ -90,8 +94,7 @@
     }
 
     private RequestProgress progress() {
-        return new RequestProgress(
-                sends, priorRuns + possibleRuns, exchange.requestHead().resumeAfter(), true);
+        return new RequestProgress(sends, priorRuns + possibleRuns, stream.lastEventId(), true);
     }
 
     @Override
@@ -140,13 +143,15 @@
         countedAsLoad = true;
         exchange.addStep("sent:" + upstream.id());
         responseBody = Buffer.buffer();
+        streamedAnswer = null;
+        stream.beginAttempt();
         held.empty();
         UpstreamHeaderValues call = new UpstreamHeaderValues(
                 upstream.id(),
                 Math.max(1, exchange.remainingMillis()),
                 exchange.customer().map(Customer::name),
                 List.of(),
-                exchange.requestHead().resumeAfter());
+                stream.lastEventId());
         if (exchange.route().kind() == RequestKind.SAFE
                 && priorRuns + possibleRuns + 1 < exchange.route().maxAttempts()) {
             long timeoutMillis =
@@ -202,10 +207,27 @@
         responseHead = head;
         responseHeaders = headers;
         head.load().ifPresent(load -> loads.reported(upstream.id(), load, context.now()));
+        if (isStream(head, headers)) {
+            CallerStream.Head streamHead = new CallerStream.Head(head.status(), headers);
+            streamedAnswer = new StreamedAnswer(context, exchange, stream, streamHead, attempt, new StreamOutcome());
+        }
+    }
+
+    /** Returns whether an answer is passed on event by event, instead of as a whole. */
+    private boolean isStream(AnswerFacts head, MultiMap headers) {
+        return exchange.route().kind() == RequestKind.STREAM
+                && head.success()
+                && !head.refused()
+                && head.isTrusted(exchange.requestHead().attemptId())
+                && EventStreams.isEventStream(exchange.route(), headers);
     }
 
     @Override
     public void data(Buffer bytes) {
+        if (streamedAnswer != null) {
+            feedStream(streamedAnswer, bytes);
+            return;
+        }
         responseBody.appendBuffer(bytes);
         boolean fits = held.set(responseBody.length());
         if (fits && responseBody.length() > MAX_RESPONSE_BYTES) {
@@ -214,8 +236,19 @@
         }
     }
 
+    private void feedStream(StreamedAnswer answer, Buffer bytes) {
+        answer.feed(bytes);
+        if (!answer.ended()) {
+            held.set(answer.bufferedBytes());
+        }
+    }
+
     @Override
     public void complete() {
+        if (streamedAnswer != null) {
+            streamedAnswer.sourceEnded();
+            return;
+        }
         endAttempt();
         double now = context.now();
         AnswerFacts head = responseHead;
@@ -228,20 +261,43 @@
             retryAfterNoRun("refused", true, ErrorType.UPSTREAM_REFUSED);
         } else if (!head.isTrusted(exchange.requestHead().attemptId())) {
             rejectResponse("unsigned");
+        } else if (EventStreams.isBrokenOff(
+                exchange.route(), new CallerStream.Head(head.status(), responseHeaders), responseBody)) {
+            rejectResponse(CallerStream.Fault.PARTIAL.label());
         } else if (head.failure() && mayRunAgain()) {
             possibleRuns++;
             context.health().recordFailureAnswer(upstream.id(), now);
             exchange.addStep("failed:" + head.status());
             retryOrElse("failed", true, this::forwardResponse);
         } else {
-            context.health().recordAnswer(upstream.id(), now);
-            if (!ConnectionHeaders.endsWithConnection(responseHeaders)) {
-                guard.answered();
-            }
+            recordAnswered();
             forwardResponse();
         }
     }
 
+    private void recordAnswered() {
+        context.health().recordAnswer(upstream.id(), context.now());
+        if (!ConnectionHeaders.endsWithConnection(responseHeaders)) {
+            guard.answered();
+        }
+    }
+
+    private final class StreamOutcome implements StreamedAnswer.Listener {
+        @Override
+        public void streamWhole() {
+            endAttempt();
+            recordAnswered();
+            held.close();
+        }
+
+        @Override
+        public void streamBroken(String cause) {
+            attempt.cancel();
+            endAttempt();
+            rejectResponse(cause);
+        }
+    }
+
     /**
      * Forwards the response, unless its status tells callers that the request did not run: it did run at the upstream.
      */
@@ -276,10 +332,14 @@
         context.recordFailure(upstream.id());
         boolean mayRetry = mayRunAgain();
         possibleRuns++;
-        CrashGuard.Progress progress = new CrashGuard.Progress(context.now() - sentAt, 0, OptionalDouble.empty());
+        CrashGuard.Progress progress = new CrashGuard.Progress(context.now() - sentAt, 0, answeringMillis());
         guard.investigate(upstream, progress, unsuspected -> retryBroken(cause, mayRetry && unsuspected));
     }
 
+    private OptionalDouble answeringMillis() {
+        return streamedAnswer == null ? OptionalDouble.empty() : streamedAnswer.answeringMillis();
+    }
+
     private void retryBroken(String cause, boolean mayRetry) {
         if (mayRetry) {
             retryOrElse(cause, true, () -> exchange.fail(502, ErrorType.UPSTREAM_BROKEN, 0));
@@ -290,6 +350,7 @@
 
     private boolean mayRunAgain() {
         return exchange.route().idempotent()
+                && stream.isPositionKnown()
                 && priorRuns + possibleRuns + 1 < exchange.route().maxAttempts()
                 && sends < MAX_SENDS;
     }
@@ -339,6 +400,9 @@
             context.vertx().cancelTimer(attemptTimer);
             attemptTimer = -1;
         }
+        if (streamedAnswer != null) {
+            streamedAnswer.stop();
+        }
         if (countedAsLoad) {
             countedAsLoad = false;
             loads.ended(upstream.id());
--- a/relay/src/main/java/org/endivehold/relay/serve/StreamAttempt.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/StreamAttempt.java
@@ -36,13 +36,13 @@
         void errorResponse(AnswerFacts head, MultiMap headers, Buffer body);
 
         /**
-         * The stream has ended after a complete event.
+         * The stream has ended and is whole.
          *
          * @param rest bytes after the last event, which are no event
          */
         void complete(Buffer rest);
 
-        /** The stream broke off, or its response cannot be trusted (wrong attempt id, no seal, incomplete event). */
+        /** The stream broke off, is not whole, or its response cannot be trusted (wrong attempt id, no seal). */
         void broken(String cause);
     }
 
@@ -60,6 +60,7 @@
     private final EngineProfile profile;
     private final Placement placement;
     private final EngineJob job;
+    private final CallerStream stream;
     private final OptionalLong resumeAfter;
     private final CrashGuard guard;
     private final Listener listener;
@@ -86,7 +87,7 @@
             EngineProfile profile,
             Placement placement,
             EngineJob job,
-            OptionalLong resumeAfter,
+            CallerStream stream,
             CrashGuard guard,
             Listener listener) {
         this.context = context;
@@ -96,7 +97,8 @@
         this.profile = profile;
         this.placement = placement;
         this.job = job;
-        this.resumeAfter = resumeAfter;
+        this.stream = stream;
+        this.resumeAfter = stream.lastEventId();
         this.guard = guard;
         this.listener = listener;
         flow = new EventFlow(context.vertx(), context.ticker(), exchange, this, this);
@@ -368,14 +370,21 @@
             listener.errorResponse(responseHead, responseHeaders, errorBody);
         } else if (!responseHead.isTrusted(attemptId)) {
             broken("unsigned");
-        } else if (flow.hasPartialEvent() || !eventReceived) {
-            broken("partial");
         } else {
-            if (!ConnectionHeaders.endsWithConnection(responseHeaders)) {
-                reportSound();
-            }
-            listener.complete(flow.rest());
+            streamEnded();
+        }
+    }
+
+    private void streamEnded() {
+        Optional<CallerStream.Fault> fault = stream.faultAtEnd(flow);
+        if (fault.isPresent()) {
+            broken(fault.get().label());
+            return;
+        }
+        if (!ConnectionHeaders.endsWithConnection(responseHeaders)) {
+            reportSound();
         }
+        listener.complete(flow.rest());
     }
 
     @Override
--- a/relay/src/main/java/org/endivehold/relay/serve/StreamRequestHandler.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/StreamRequestHandler.java
@@ -42,7 +42,7 @@
     private final Handover handover;
     private final boolean counted;
     private final int priorRuns;
-    private final EventSequence sequence;
+    private final CallerStream stream;
     private final CrashGuard guard;
     private final TrafficClass traffic;
     private final Set<String> excludedEngines = new HashSet<>();
@@ -66,8 +66,8 @@
         this.counted = progress.counted();
         this.sends = progress.sends();
         this.priorRuns = progress.possibleRuns();
-        this.sequence = new EventSequence(progress.lastEventId());
         this.exchange = exchange;
+        this.stream = new CallerStream(exchange, progress.lastEventId());
         this.client = client;
         this.outgoing = outgoing;
         this.service = service;
@@ -87,7 +87,7 @@
     }
 
     private RequestProgress progress() {
-        return new RequestProgress(sends, priorRuns + possibleRuns, sequence.lastId(), true);
+        return new RequestProgress(sends, priorRuns + possibleRuns, stream.lastEventId(), true);
     }
 
     @Override
@@ -206,7 +206,7 @@
         if (!traffic.equals(TrafficClass.DEFAULT)) {
             context.metrics().shareReceived(traffic.customer(), engineMillis());
         }
-        sequence.beginAttempt(exchange.responseBegun());
+        stream.beginAttempt();
         attempt = new StreamAttempt(
                 context,
                 exchange,
@@ -215,7 +215,7 @@
                 service.engine().orElseThrow(),
                 placement,
                 job,
-                sequence.lastId(),
+                stream,
                 guard,
                 this);
         watch = new SilenceWatch(context, attempt, need(), this::attemptSilent);
@@ -311,30 +311,19 @@
         if (exchange.ended()) {
             return;
         }
-        EventSequence.Verdict verdict = sequence.next(id);
-        if (verdict == EventSequence.Verdict.GAP) {
-            exchange.addStep("gap");
+        CallerStream.Head head = new CallerStream.Head(attempt.responseHead().status(), attempt.responseHeaders());
+        stream.event(id, bytes, head).ifPresent(fault -> {
+            exchange.addStep(fault.label());
             attempt.cancel();
-            broken("gap");
-            return;
-        }
-        if (verdict == EventSequence.Verdict.REPEATED) {
-            return;
-        }
-        exchange.beginStream(attempt.responseHead().status(), attempt.responseHeaders());
-        exchange.writeEvent(bytes);
+            broken(fault.label());
+        });
     }
 
     @Override
     public void complete(Buffer rest) {
-        if (sequence.isPositionUnconfirmed()) {
-            exchange.addStep("not-resumed");
-            broken("not-resumed");
-            return;
-        }
         withdrawPlacementRequest();
         watch.stop();
-        exchange.completeStream(rest);
+        stream.complete(rest);
     }
 
     @Override
@@ -407,10 +396,8 @@
     }
 
     private boolean mayResume() {
-        // Without an id, nobody can tell where another engine goes on.
-        boolean positionKnown = !exchange.responseBegun() || sequence.lastId().isPresent();
         return exchange.route().idempotent()
-                && positionKnown
+                && stream.isPositionKnown()
                 && priorRuns + possibleRuns + 1 < exchange.route().maxAttempts()
                 && sends < MAX_SENDS;
     }
--- a/relay/src/test/java/org/endivehold/relay/peer/ScriptedNeighbour.java
+++ b/relay/src/test/java/org/endivehold/relay/peer/ScriptedNeighbour.java
@@ -15,6 +15,7 @@
     private final NetServer server;
     private final List<PeerMessage> answer;
     private volatile Runnable onRequest = () -> {};
+    private volatile boolean closing;
     private final AtomicInteger requests = new AtomicInteger();
 
     /** Starts a neighbour whose answers consist of some messages. */
@@ -40,6 +41,11 @@
         onRequest = action;
     }
 
+    /** Makes this daemon close the connection of a request after its answer, as a daemon does. */
+    public void closeAfterAnswers() {
+        closing = true;
+    }
+
     private void connected(NetSocket socket) {
         PeerStream stream = new PeerStream(socket);
         stream.handle(message -> received(stream, message), () -> {});
@@ -52,6 +58,9 @@
             requests.incrementAndGet();
             onRequest.run();
             answer.forEach(stream::send);
+            if (closing) {
+                stream.close();
+            }
         }
     }
 }
--- a/relay/src/test/java/org/endivehold/relay/serve/RelayFixture.java
+++ b/relay/src/test/java/org/endivehold/relay/serve/RelayFixture.java
@@ -97,6 +97,8 @@
                 .route(route("/unsafe/", RequestKind.UNSAFE, "plain", 1, false))
                 .route(route("/stream/", RequestKind.STREAM, "engines", 2, true))
                 .route(route("/once/", RequestKind.STREAM, "engines", 2, false))
+                .route(route("/feed/", RequestKind.STREAM, "plain", 2, true))
+                .route(route("/feed-once/", RequestKind.STREAM, "plain", 2, false))
                 .service(new RelayService("plain", "/health", 100, 0, Optional.empty()))
                 .service(new RelayService("engines", "/health", 100, 0, Optional.of(PROFILE)))
                 .key("secret", new Customer("customer", OptionalInt.empty()))
