--- a/cli/src/main/java/org/endivehold/cli/RequestExplanation.java
+++ b/cli/src/main/java/org/endivehold/cli/RequestExplanation.java
@@ -52,6 +52,7 @@
             Map.entry("silent", "nothing came, for this many milliseconds"),
             Map.entry("answer-after-head", "a whole answer with this status came in the middle of the stream"),
             Map.entry("end-before-head", "an attempt ended as complete of which nothing had been passed on"),
+            Map.entry("out-of-order", "the ids of the events did not increase, so one of them is wrong"),
             Map.entry("not-resumed", "the answer did not show that it goes on where the stream had broken"),
             Map.entry("gap", "the resumed stream did not go on where it had broken"),
             Map.entry("not-reserved", "memory for a part of the context was refused"),
--- a/relay/src/main/java/org/endivehold/relay/serve/CallerStream.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/CallerStream.java
@@ -15,6 +15,9 @@
  *
  * <p>Example: the first answer has events 1 to 3 and half of event 4, so it is {@link Fault#PARTIAL}. Another upstream
  * is asked for what follows event 3 and sends events 3 to 6: event 3 is left out, 4 to 6 pass, and the stream is whole.
+ *
+ * <p>A success is always an upstream's: an answer of which nothing passes is a success only if a caller resumes a
+ * stream by itself, and the answer says with a marked end that nothing is left.
  */
 final class CallerStream {
     /** Status and headers of an answer, which are the caller's if the answer is the first of which an event passes. */
@@ -32,7 +35,9 @@
         /** The answer ends inside an event, or before the first. */
         PARTIAL("partial"),
         /** The answer does not show that it goes on at the caller's position. */
-        NOT_RESUMED("not-resumed");
+        NOT_RESUMED("not-resumed"),
+        /** Ids do not increase, so one of them is wrong, and nobody knows what the caller has. */
+        OUT_OF_ORDER("out-of-order");
 
         private final String label;
 
@@ -49,6 +54,7 @@
     private final Exchange exchange;
     private final EventSequence sequence;
     private boolean eventReceived;
+    private boolean outOfOrder;
 
     /**
      * Creates a stream without events.
@@ -66,9 +72,9 @@
         return sequence.lastId();
     }
 
-    /** Returns whether another attempt can go on: without an id, nobody can tell where an upstream has to go on. */
+    /** Returns whether another attempt can go on: without the right id, nobody can tell where it has to. */
     boolean isPositionKnown() {
-        return !exchange.responseBegun() || sequence.lastId().isPresent();
+        return !exchange.responseBegun() || (sequence.lastId().isPresent() && !outOfOrder);
     }
 
     /** Begins another attempt. */
@@ -84,35 +90,48 @@
      */
     Optional<Fault> event(OptionalLong id, Buffer bytes, Head head) {
         eventReceived = true;
-        EventSequence.Verdict verdict = sequence.next(id);
-        if (verdict == EventSequence.Verdict.GAP) {
-            return Optional.of(Fault.GAP);
-        }
-        if (verdict == EventSequence.Verdict.PASS) {
-            exchange.beginStream(head.status(), head.headers());
-            exchange.writeEvent(bytes);
-        }
-        return Optional.empty();
+        return switch (sequence.next(id, bytes)) {
+            case PASS -> {
+                exchange.beginStream(head.status(), head.headers());
+                exchange.writeEvent(bytes);
+                yield Optional.empty();
+            }
+            case LEFT_OUT -> Optional.empty();
+            case GAP -> Optional.of(Fault.GAP);
+            case OUT_OF_ORDER -> {
+                outOfOrder = true;
+                yield Optional.of(Fault.OUT_OF_ORDER);
+            }
+        };
     }
 
     /**
      * Returns why an answer that has ended is no whole stream, if it is none.
      *
      * @param flow the events of the answer, which have all been passed on
+     * @param endMarked whether the end of the answer was marked, by a length for instance, rather than by the end of
+     *     its connection
      */
-    Optional<Fault> faultAtEnd(EventFlow flow) {
-        if (flow.hasPartialEvent() || !eventReceived) {
+    Optional<Fault> faultAtEnd(EventFlow flow, boolean endMarked) {
+        if (flow.hasPartialEvent()) {
             return Optional.of(Fault.PARTIAL);
         }
-        return sequence.isPositionUnconfirmed() ? Optional.of(Fault.NOT_RESUMED) : Optional.empty();
+        if (sequence.isPositionConfirmed()) {
+            return eventReceived ? Optional.empty() : Optional.of(Fault.PARTIAL);
+        }
+        boolean nothingLeft = !eventReceived && endMarked && !exchange.responseBegun();
+        return nothingLeft ? Optional.empty() : Optional.of(Fault.NOT_RESUMED);
     }
 
     /**
-     * Ends the stream as complete.
+     * Ends the stream as complete. A caller who has resumed a stream of which nothing is left gets the head of the
+     * answer that says so.
      *
+     * @param head head of the answer
      * @param rest what follows the last event, which is no event
      */
-    void complete(Buffer rest) {
+    void complete(Head head, Buffer rest) {
+        exchange.beginStream(head.status(), head.headers());
         exchange.completeStream(rest);
     }
 }
--- a/relay/src/main/java/org/endivehold/relay/serve/ForwardedRequest.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/ForwardedRequest.java
@@ -240,7 +240,7 @@
         if (answer == null) {
             complete();
         } else {
-            answer.sourceEnded();
+            answer.sourceEnded(true);
         }
     }
 
--- a/relay/src/main/java/org/endivehold/relay/serve/PlainRequestHandler.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/PlainRequestHandler.java
@@ -246,7 +246,7 @@
     @Override
     public void complete() {
         if (streamedAnswer != null) {
-            streamedAnswer.sourceEnded();
+            streamedAnswer.sourceEnded(!ConnectionHeaders.endsWithConnection(responseHeaders));
             return;
         }
         endAttempt();
--- a/relay/src/main/java/org/endivehold/relay/serve/StreamAttempt.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/StreamAttempt.java
@@ -376,12 +376,13 @@
     }
 
     private void streamEnded() {
-        Optional<CallerStream.Fault> fault = stream.faultAtEnd(flow);
+        boolean endMarked = !ConnectionHeaders.endsWithConnection(responseHeaders);
+        Optional<CallerStream.Fault> fault = stream.faultAtEnd(flow, endMarked);
         if (fault.isPresent()) {
             broken(fault.get().label());
             return;
         }
-        if (!ConnectionHeaders.endsWithConnection(responseHeaders)) {
+        if (endMarked) {
             reportSound();
         }
         listener.complete(flow.rest());
--- a/relay/src/main/java/org/endivehold/relay/serve/StreamRequestHandler.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/StreamRequestHandler.java
@@ -311,8 +311,7 @@
         if (exchange.ended()) {
             return;
         }
-        CallerStream.Head head = new CallerStream.Head(attempt.responseHead().status(), attempt.responseHeaders());
-        stream.event(id, bytes, head).ifPresent(fault -> {
+        stream.event(id, bytes, answerHead()).ifPresent(fault -> {
             exchange.addStep(fault.label());
             attempt.cancel();
             broken(fault.label());
@@ -323,7 +322,11 @@
     public void complete(Buffer rest) {
         withdrawPlacementRequest();
         watch.stop();
-        stream.complete(rest);
+        stream.complete(answerHead(), rest);
+    }
+
+    private CallerStream.Head answerHead() {
+        return new CallerStream.Head(attempt.responseHead().status(), attempt.responseHeaders());
     }
 
     @Override
--- a/relay/src/main/java/org/endivehold/relay/serve/StreamedAnswer.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/StreamedAnswer.java
@@ -60,9 +60,13 @@
         }
     }
 
-    /** Ends the answer once its events have been passed on: its source has sent all of it. */
-    void sourceEnded() {
-        flow.whenDrained(this::end);
+    /**
+     * Ends the answer once its events have been passed on: its source has sent all of it.
+     *
+     * @param endMarked whether its end was marked, rather than by the end of a connection
+     */
+    void sourceEnded(boolean endMarked) {
+        flow.whenDrained(() -> end(endMarked));
     }
 
     /** Passes nothing on any more. */
@@ -102,18 +106,18 @@
         breakOff("oversized");
     }
 
-    private void end() {
+    private void end(boolean endMarked) {
         if (ended) {
             return;
         }
-        Optional<CallerStream.Fault> fault = stream.faultAtEnd(flow);
+        Optional<CallerStream.Fault> fault = stream.faultAtEnd(flow, endMarked);
         if (fault.isPresent()) {
             breakOff(fault.get().label());
             return;
         }
         stop();
         listener.streamWhole();
-        stream.complete(flow.rest());
+        stream.complete(head, flow.rest());
     }
 
     private void breakOff(String cause) {
