Request handlers: choice of a plain upstream and header fields of forwarded requests in files of their own

PlainUpstreamSelector chooses an upstream, ForwardedHeaders translates fields. No behaviour changes.

--- a/relay/src/main/java/org/endivehold/relay/serve/ForwardReceiver.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/ForwardReceiver.java
@@ -140,8 +140,7 @@
         }
 
         private void dispatch() {
-            MultiMap headers = MultiMap.caseInsensitiveMultiMap();
-            head.headers().forEach(header -> headers.add(header.name(), header.value()));
+            MultiMap headers = ForwardedHeaders.fromMessage(head.headers());
             CallerRequestHead parsed = context.headerCodec().parseRequest(headers);
             CallerRequestHead requestHead = new CallerRequestHead(
                     parsed.attemptId(),
--- a/relay/src/main/java/org/endivehold/relay/serve/ForwardResponseChannel.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/ForwardResponseChannel.java
@@ -3,9 +3,6 @@
 import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
-import java.util.ArrayList;
-import java.util.List;
-import java.util.Map;
 import org.endivehold.error.ErrorType;
 import org.endivehold.relay.peer.PeerMessage;
 import org.endivehold.relay.peer.PeerStream;
@@ -31,22 +28,14 @@
 
     @Override
     public Future<Void> respond(int status, MultiMap headers, Buffer body) {
-        stream.send(new PeerMessage.ForwardedHead(status, false, list(headers)));
+        stream.send(new PeerMessage.ForwardedHead(status, false, ForwardedHeaders.toMessage(headers)));
         stream.sendBytes(body);
         return stream.end(new PeerMessage.ForwardedEnd());
     }
 
     @Override
     public void beginStream(int status, MultiMap headers) {
-        stream.send(new PeerMessage.ForwardedHead(status, true, list(headers)));
-    }
-
-    private static List<PeerMessage.Header> list(MultiMap headers) {
-        List<PeerMessage.Header> list = new ArrayList<>();
-        for (Map.Entry<String, String> header : headers) {
-            list.add(new PeerMessage.Header(header.getKey(), header.getValue()));
-        }
-        return list;
+        stream.send(new PeerMessage.ForwardedHead(status, true, ForwardedHeaders.toMessage(headers)));
     }
 
     @Override
--- a/relay/src/main/java/org/endivehold/relay/serve/ForwardedRequest.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/ForwardedRequest.java
@@ -1,12 +1,9 @@
 package org.endivehold.relay.serve;
 
-import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetClient;
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.endivehold.error.ErrorType;
@@ -229,7 +226,7 @@
         if (head != null) {
             connectionLost("second-head");
         } else if (!leaveIfInvalid(begun.status(), begun.headers())) {
-            head = new CallerStream.Head(begun.status(), multiMap(begun.headers()));
+            head = new CallerStream.Head(begun.status(), ForwardedHeaders.fromMessage(begun.headers()));
             answer = begun.stream()
                     ? new StreamedAnswer(context, exchange, stream, head, source, new StreamOutcome())
                     : null;
@@ -251,7 +248,7 @@
      * @return whether it is invalid
      */
     private boolean leaveIfInvalid(int status, List<PeerMessage.Header> headers) {
-        Optional<InvalidAnswerException> violation = HeadRules.violation(status, multiMap(headers));
+        Optional<InvalidAnswerException> violation = HeadRules.violation(status, ForwardedHeaders.fromMessage(headers));
         violation.ifPresent(invalid -> {
             context.recordInvalidAnswer(exchange.requestHead().attemptId(), daemon.name(), invalid);
             connectionLost("invalid-answer");
@@ -274,7 +271,7 @@
                 outgoing.method().name(),
                 outgoing.uri(),
                 request.path(),
-                headers(outgoing.headers()),
+                ForwardedHeaders.toMessage(outgoing.headers()),
                 outgoing.body().length(),
                 exchange.customer(),
                 Math.max(1, exchange.remainingMillis()),
@@ -287,14 +284,6 @@
         sentOnce = true;
     }
 
-    private static List<PeerMessage.Header> headers(MultiMap headers) {
-        List<PeerMessage.Header> list = new ArrayList<>();
-        for (Map.Entry<String, String> header : headers) {
-            list.add(new PeerMessage.Header(header.getKey(), header.getValue()));
-        }
-        return list;
-    }
-
     private void bytes(Buffer part) {
         if (answer != null) {
             answer.feed(part);
@@ -345,12 +334,6 @@
         }
     }
 
-    private static MultiMap multiMap(List<PeerMessage.Header> headers) {
-        MultiMap map = MultiMap.caseInsensitiveMultiMap();
-        headers.forEach(header -> map.add(header.name(), header.value()));
-        return map;
-    }
-
     /** Passes on an answer that is no stream. */
     private void complete() {
         if (ended) {
--- a/relay/src/main/java/org/endivehold/relay/serve/PlainRequestHandler.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/PlainRequestHandler.java
@@ -3,8 +3,6 @@
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import java.io.IOException;
-import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -36,6 +34,7 @@
     private final RelayContext context;
     private final Exchange exchange;
     private final PlainUpstreamLoads loads;
+    private final PlainUpstreamSelector selector;
     private final UpstreamClient client;
     private final UpstreamClient.OutgoingRequest outgoing;
     private final RelayService service;
@@ -80,6 +79,7 @@
         this.client = client;
         this.outgoing = outgoing;
         this.service = service;
+        this.selector = new PlainUpstreamSelector(context, service, loads);
         this.guard = new CrashGuard(context.crashes(), exchange, outgoing);
         this.held = context.bodies().responses().open(this::evicted);
         this.stream = new CallerStream(exchange, progress.lastEventId());
@@ -129,7 +129,7 @@
             giveUp(ErrorType.UPSTREAM_UNREACHABLE);
             return;
         }
-        Optional<Upstream> chosen = choose();
+        Optional<Upstream> chosen = selector.choose(tried);
         if (chosen.isEmpty()) {
             giveUp(ErrorType.NO_UPSTREAM);
             return;
@@ -161,25 +161,6 @@
         attempt = client.send(outgoing, upstream, call, new GuardedListener(exchange, this));
     }
 
-    private Optional<Upstream> choose() {
-        double now = context.now();
-        List<Upstream> usable = new ArrayList<>();
-        List<Upstream> ejected = new ArrayList<>();
-        for (Upstream candidate : context.fleet().upstreams(service.name())) {
-            if (tried.contains(candidate.id())
-                    || context.isBarred(candidate)
-                    || (candidate.cold(now) && !context.coldUpstreamHasCapacity(service, candidate))) {
-                continue;
-            }
-            boolean failing = context.health().ejected(candidate.id(), now)
-                    || context.paths().isLost(candidate);
-            (failing ? ejected : usable).add(candidate);
-        }
-        List<Upstream> candidates = usable.isEmpty() ? ejected : usable;
-        return candidates.stream()
-                .min(Comparator.comparingDouble(u -> loads.score(u, context.health(), context.random(), now)));
-    }
-
     private void attemptTimedOut() {
         attemptTimer = -1;
         if (exchange.ended() || attempt.ended() || responseHead != null) {
@@ -357,7 +338,7 @@
      */
     private void retryOrElse(String cause, boolean takesBudget, Runnable otherwise) {
         boolean mayRetry = !exchange.ended()
-                && choose().isPresent()
+                && selector.choose(tried).isPresent()
                 && (!takesBudget
                         || context.retryShare()
                                 .tryTake(service.name(), context.daemons().divisor(), context.now()));
