Tests of faults before a request's timeout; nothing more is handled of a daemon whose message failed

A frame with several messages went on to the handler after one of them had thrown.

Change: PeerStream hands on nothing after such a message.

--- a/relay/src/main/java/org/endivehold/relay/peer/PeerStream.java
+++ b/relay/src/main/java/org/endivehold/relay/peer/PeerStream.java
@@ -97,11 +97,12 @@
         socket.drainHandler(drained -> action.run());
     }
 
-    /** Hands on a message. If that throws, the request cannot go on, so the other side is told by the end. */
+    /** Handles a message. If that throws, the request cannot go on, and the other side learns of it by the end. */
     private void receive(PeerMessage message) {
         try {
             receiver.accept(message);
         } catch (RuntimeException e) {
+            receiver = ignored -> {};
             fault("not handled: " + e);
         }
     }
--- a/relay/src/test/java/org/endivehold/relay/peer/PeerStreamTest.java
+++ b/relay/src/test/java/org/endivehold/relay/peer/PeerStreamTest.java
@@ -8,6 +8,7 @@
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetSocket;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -46,4 +47,26 @@
         stream.handle(message -> {}, ended::complete);
         assertTrue(ended.future().isComplete());
     }
+
+    /** An exception only reached the event loop; the other daemon waited for an answer until its timeout. */
+    @Test
+    void aMessageThatIsNotHandledClosesTheConnection() throws Exception {
+        Promise<NetSocket> accepted = Promise.promise();
+        NetServer server = vertx.createNetServer().connectHandler(accepted::complete);
+        await(server.listen(0, "127.0.0.1"));
+        NetSocket socket = await(vertx.createNetClient().connect(server.actualPort(), "127.0.0.1"));
+        PeerStream stream = new PeerStream(socket);
+        Promise<Void> closed = Promise.promise();
+        stream.handle(
+                message -> {
+                    throw new IllegalStateException("a fault of this daemon");
+                },
+                closed::complete);
+        NetSocket other = await(accepted.future());
+        Promise<Void> otherClosed = Promise.promise();
+        other.closeHandler(gone -> otherClosed.complete());
+        await(other.write(PeerCodec.encode(List.of(new PeerMessage.Ping(), new PeerMessage.Ping()))));
+        await(closed.future());
+        await(otherClosed.future());
+    }
 }
--- a/relay/src/test/java/org/endivehold/relay/serve/RelayFixture.java
+++ b/relay/src/test/java/org/endivehold/relay/serve/RelayFixture.java
@@ -75,6 +75,9 @@
     /** Start of all upstreams, as their entries show it. */
     volatile long startedAtMillis = 1;
 
+    /** Whether looking for the route of a request fails, by a fault of the daemon. */
+    volatile boolean failingDispatch;
+
     private final UpstreamAvailability availability;
     private int completenessChecks;
 
@@ -254,6 +257,9 @@
 
     @Override
     public Optional<RoutingTable> table() {
+        if (failingDispatch && completenessChecks > 0) {
+            throw new IllegalStateException("a fault of this daemon");
+        }
         return Optional.of(table);
     }
 
--- a/relay/src/test/java/org/endivehold/relay/serve/TestHeaderCodec.java
+++ b/relay/src/test/java/org/endivehold/relay/serve/TestHeaderCodec.java
@@ -12,6 +12,9 @@
 final class TestHeaderCodec implements Dialect {
     @Override
     public CallerRequestHead parseRequest(MultiMap headers) {
+        if (headers.contains("faulty")) {
+            throw new IllegalStateException("a fault of this daemon");
+        }
         return new CallerRequestHead(
                 headers.get("attempt"),
                 number(headers.get("remaining")),
