A plain service's answer that cannot have a body is no broken stream

Cause: since streams of plain services are passed on event by event, an answer without a body on a streaming route (204, or to HEAD) counted as a stream that broke off before its first event: 502 instead of the upstream's answer, found by reading.

Change: such an answer is passed on as a whole, as before this issue.

Measured: both rows of PlainStreamTest.anAnswerWithoutABodyPasses failed on; 140 tests of PlainStreamTest, ForwardedPlainStreamTest, CallerResumeTest, PlainRelayTest, HandedOverStreamTest and DaemonFaultTest pass.

--- a/relay/src/main/java/org/endivehold/relay/serve/PlainRequestHandler.java
+++ b/relay/src/main/java/org/endivehold/relay/serve/PlainRequestHandler.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
 import java.io.IOException;
 import java.util.HashSet;
 import java.util.List;
@@ -24,6 +25,8 @@
 final class PlainRequestHandler implements RequestHandler, UpstreamAttempt.Listener {
     /** Most sends of one request, including those that did not run. */
     private static final int MAX_SENDS = 4;
+
+    private static final int NO_CONTENT_STATUS = 204;
     /** Largest response body that is accepted, in bytes. */
     private static final int MAX_RESPONSE_BYTES = 8 << 20;
     /** Part of the remaining time that an attempt of a safe request may take before it is retried elsewhere. */
@@ -194,9 +197,14 @@
         }
     }
 
-    /** Returns whether an answer is passed on event by event, instead of as a whole. */
+    /**
+     * Returns whether an answer is passed on event by event, instead of as a whole; one without a body has no events.
+     */
     private boolean isStream(AnswerFacts head, MultiMap headers) {
+        boolean hasBody =
+                head.status() != NO_CONTENT_STATUS && !outgoing.method().equals(HttpMethod.HEAD);
         return exchange.route().kind() == RequestKind.STREAM
+                && hasBody
                 && head.success()
                 && !head.refused()
                 && head.isTrusted(exchange.requestHead().attemptId())
--- a/relay/src/test/java/org/endivehold/relay/serve/PlainStreamTest.java
+++ b/relay/src/test/java/org/endivehold/relay/serve/PlainStreamTest.java
@@ -157,6 +157,19 @@
         }
     }
 
+    /** An answer that cannot have a body is no stream that broke off before its first event. */
+    @ParameterizedTest
+    @CsvSource({"POST, 204 No Content", "HEAD, 200 OK"})
+    void anAnswerWithoutABodyPasses(String method, String status) throws Exception {
+        String answer = HEAD.replace("200 OK", status) + "\r\n";
+        try (RelayFixture relay = new RelayFixture().replyFromAll(answer, End.FIN)) {
+            RawResponse response = relay.send(method, "/feed/x", "", HEADERS);
+            assertEquals(status.substring(0, 3), Integer.toString(response.status()));
+            assertTrue(response.head().contains("signature: s"), response.bytes());
+            assertEquals(1, relay.arrivals());
+        }
+    }
+
     /** Nothing but the end of its last event shows that an event stream is whole if its connection ends it. */
     @ParameterizedTest
     @CsvSource({
